Add build skeleton, domain model and platform interfaces

Sets up the Maven modules with formatter, linter, strict explicit API and warnings as errors, the design page, the shared model and API types in core, the interfaces to the platform and an in-memory table service.

--- /dev/null
+++ b/core/src/main/kotlin/org/orioleferry/core/api/Api.kt
@@ -0,0 +1,171 @@
+package org.orioleferry.core.api
+
+import kotlinx.serialization.Serializable
+import org.orioleferry.core.Failure
+import org.orioleferry.core.event.Event
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.Epoch
+import org.orioleferry.core.model.Gang
+import org.orioleferry.core.model.Guarantee
+import org.orioleferry.core.model.InstanceId
+import org.orioleferry.core.model.JobClassName
+import org.orioleferry.core.model.JobRecord
+import org.orioleferry.core.model.WorkerId
+import org.orioleferry.core.model.WorkspaceName
+
+/** Body of every answer that is a failure. `notRun` is true only where it is certain. */
+@Serializable
+public data class ErrorBody(
+    val error: ErrorDetail,
+)
+
+/** The failure of an [ErrorBody] as it stands on the wire. */
+@Serializable
+public data class ErrorDetail(
+    val code: String,
+    val message: String,
+    val notRun: Boolean,
+    val retryAfterMs: Long? = null,
+    val details: Map<String, String> = emptyMap(),
+)
+
+/** Wire form of a [Failure]. */
+public fun Failure.toErrorBody(): ErrorBody =
+    ErrorBody(ErrorDetail(code.name, message, isNotRun, retryAfterMs, details))
+
+/** Body of `POST /v1/requests`. A [key] is required when the class is not idempotent. */
+@Serializable
+public data class RequestBody(
+    val workspace: WorkspaceName,
+    val caller: String,
+    val jobClass: JobClassName,
+    val key: String? = null,
+    val payload: String = "",
+    val workMs: Long = 0,
+    val deadlineMs: Long? = null,
+)
+
+/** Answer to a request that ran. */
+@Serializable
+public data class RequestAnswer(
+    val requestId: String,
+    val outcome: String,
+    val result: String,
+    val worker: WorkerId,
+)
+
+/** Body of `POST /v1/jobs`. Without [dataCentre] the instance chooses one. [suffix] makes a repeat idempotent. */
+@Serializable
+public data class JobSubmission(
+    val workspace: WorkspaceName,
+    val caller: String,
+    val jobClass: JobClassName,
+    val gang: Gang,
+    val declaredRunMs: Long,
+    val workMs: Long = declaredRunMs,
+    val dataCentre: DataCentre? = null,
+    val suffix: String? = null,
+)
+
+/** Answer of `GET /v1/jobs`. */
+@Serializable
+public data class JobList(
+    val jobs: List<JobRecord>,
+)
+
+/** Answer of `POST /v1/notes`. */
+@Serializable
+public data class NoteAccepted(
+    val version: Long,
+    val alreadyApplied: Boolean = false,
+)
+
+/** Version in force on one instance. */
+@Serializable
+public data class InstanceVersion(
+    val id: InstanceId,
+    val dataCentre: DataCentre,
+    val version: Long,
+)
+
+/** Answer of `GET /v1/notes/status`. */
+@Serializable
+public data class NoteStatus(
+    val head: Long,
+    val instances: List<InstanceVersion>,
+)
+
+/** One worker as the answering instance sees it. */
+@Serializable
+public data class WorkerView(
+    val id: WorkerId,
+    val dataCentre: DataCentre,
+    val rack: String,
+    val state: String,
+    val accelerators: Int,
+    val acceleratorsInUse: Int,
+    val slots: Int,
+    val slotsInUse: Int,
+)
+
+/** Answer of `GET /v1/workers`. */
+@Serializable
+public data class WorkerList(
+    val workers: List<WorkerView>,
+)
+
+/** One workspace: accelerators guaranteed, used, borrowed beyond the guarantee, and reclaimable from borrowers. */
+@Serializable
+public data class WorkspaceView(
+    val name: WorkspaceName,
+    val guarantees: List<Guarantee>,
+    val guaranteed: Int,
+    val used: Int,
+    val borrowed: Int,
+    val reclaimable: Int,
+)
+
+/** Answer of `GET /v1/workspaces`. */
+@Serializable
+public data class WorkspaceList(
+    val workspaces: List<WorkspaceView>,
+)
+
+/** One entry instance and the data centres that it owns. */
+@Serializable
+public data class InstanceView(
+    val id: InstanceId,
+    val dataCentre: DataCentre,
+    val state: String,
+    val noteVersion: Long,
+    val owned: Map<DataCentre, Epoch>,
+)
+
+/** Answer of `GET /v1/instances`. */
+@Serializable
+public data class InstanceList(
+    val instances: List<InstanceView>,
+)
+
+/** Work that the operations desk looks at: late, lost or of unknown outcome. */
+@Serializable
+public data class LateItem(
+    val kind: String,
+    val id: String,
+    val workspace: WorkspaceName,
+    val state: String,
+    val lateMs: Long,
+    val reason: String? = null,
+)
+
+/** Answer of `GET /v1/late`. */
+@Serializable
+public data class LateList(
+    val items: List<LateItem>,
+)
+
+/** Answer of `GET /v1/events`, in the order of logical time. */
+@Serializable
+public data class EventList(
+    val events: List<Event>,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/orioleferry/core/event/Event.kt
@@ -0,0 +1,29 @@
+package org.orioleferry.core.event
+
+import kotlinx.serialization.Serializable
+
+/** Severity of an event. */
+@Serializable
+public enum class EventLevel { INFO, WARN, ERROR }
+
+/**
+ * One entry of the time line.
+ *
+ * @property number number of the event type in the catalogue `docs/events.md`.
+ * @property logicalTime Lamport clock of the process, so that a cause is ordered before its effect.
+ * @property wallMs wall clock of the process, for display.
+ * @property attributes values such as `job`, `request`, `worker` and `workspace`, which filters match.
+ */
+@Serializable
+public data class Event(
+    val number: Int,
+    val name: String,
+    val level: EventLevel,
+    val source: String,
+    val logicalTime: Long,
+    val wallMs: Long,
+    val attributes: Map<String, String> = emptyMap(),
+)
+
+/** Records an event of [type] with the given attributes. */
+public typealias EventSink = (type: EventType, attributes: Map<String, String>) -> Unit
--- /dev/null
+++ b/core/src/test/kotlin/org/orioleferry/core/ClockTest.kt
@@ -0,0 +1,14 @@
+package org.orioleferry.core
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThanOrEqualTo
+
+class ClockTest {
+    // Guards against a lease being judged by a reading that goes back.
+    @Test
+    fun `monotonic time should never go back`() {
+        val readings = List(1_000) { SystemClock.monotonicMs() }
+        readings.zipWithNext().forEach { (earlier, later) -> expectThat(later).isGreaterThanOrEqualTo(earlier) }
+    }
+}
