--- /dev/null
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/ownership/OwnershipManagerTest.kt
@@ -0,0 +1,317 @@
+package org.orioleferry.coordination.ownership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.orioleferry.coordination.store.GuardedTableService
+import org.orioleferry.coordination.testing.StoreLink
+import org.orioleferry.coordination.testing.VirtualClock
+import org.orioleferry.core.ManualClock
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.Epoch
+import org.orioleferry.core.model.InstanceId
+import org.orioleferry.platform.CommitResult
+import org.orioleferry.platform.ReadResult
+import org.orioleferry.platform.TableOperation
+import org.orioleferry.platform.TableService
+import org.orioleferry.standins.InMemoryTableService
+import org.orioleferry.standins.StoreFault
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
+
+private val DOMAINS = listOf("kalamata-a", "pylos-b", "koroni-c", "messini-d", "fifth-e").map(::DataCentre)
+private val DOMAIN = DOMAINS.first()
+
+/** One instance with its own link to the store. */
+internal class Contender(
+    val id: InstanceId,
+    val link: StoreLink,
+    val manager: OwnershipManager,
+) {
+    lateinit var job: Job
+
+    fun start(scope: CoroutineScope) {
+        job = scope.launch { manager.run() }
+    }
+}
+
+@OptIn(ExperimentalCoroutinesApi::class)
+internal fun TestScope.contenders(
+    count: Int,
+    store: TableService,
+    seed: Int,
+    domains: List<DataCentre> = DOMAINS,
+    isGuarded: Boolean = true,
+    latencyMs: () -> Long = { 1 },
+): List<Contender> {
+    val clock = VirtualClock(testScheduler)
+    val ids = List(count) { InstanceId("entry-$it") }
+    return ids.mapIndexed { index, id ->
+        val link = StoreLink(store, clock, latencyMs)
+        val random = Random(seed * 1_000 + index)
+        val guarded = if (isGuarded) GuardedTableService(link, clock, random) else link
+        val self = OwnershipCandidate(id, random.nextLong())
+        Contender(id, link, OwnershipManager(self, domains, guarded, clock, random, { ids }))
+    }
+}
+
+private class Write(
+    val instance: InstanceId,
+    val epoch: Epoch,
+    val version: Long,
+)
+
+private class Contest(
+    val writes: List<Write>,
+    val mostOwnersAtOnce: Int,
+)
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class OwnershipManagerTest {
+    private fun List<Contender>.ownersOf(domain: DataCentre) =
+        filter { it.manager.of(domain).state == OwnershipState.OWNER }
+
+    /** Contenders write rows under random faults, late writes and pauses. */
+    private fun contend(
+        seed: Int,
+        isFenced: Boolean,
+    ): Contest {
+        val random = Random(seed)
+        val writes = mutableListOf<Write>()
+        var mostOwners = 0
+        runTest {
+            val store = InMemoryTableService { randomFault(random) }
+            val all = contenders(4, store, seed, listOf(DOMAIN), latencyMs = { random.nextLong(1, 60) })
+            all.forEach { one ->
+                one.link.sendsLate = { send ->
+                    val isLate = random.nextInt(30) == 0
+                    if (isLate) backgroundScope.launch { delay(random.nextLong(3_000)).also { send() } }
+                    isLate
+                }
+                one.start(backgroundScope)
+                backgroundScope.launch { while (true) write(one, random, isFenced, writes) }
+            }
+            backgroundScope.launch {
+                while (true) {
+                    delay(random.nextLong(2_000, 6_000))
+                    all.random(random).link.pausedUntilMs = currentTime + random.nextLong(500, 6_000)
+                }
+            }
+            repeat(12_000) {
+                advanceTimeBy(10)
+                mostOwners = maxOf(mostOwners, all.ownersOf(DOMAIN).size)
+            }
+        }
+        return Contest(writes.sortedBy { it.version }, mostOwners)
+    }
+
+    private fun randomFault(random: Random) =
+        when (random.nextInt(20)) {
+            0 -> StoreFault.LOSE_ANSWER
+            1 -> StoreFault.DOWN
+            else -> StoreFault.NONE
+        }
+
+    private suspend fun write(
+        one: Contender,
+        random: Random,
+        isFenced: Boolean,
+        writes: MutableList<Write>,
+    ) {
+        delay(random.nextLong(20, 80))
+        val ownership = one.manager.of(DOMAIN)
+        if (ownership.state != OwnershipState.OWNER) return
+        val version = if (isFenced) ownership.fenceVersion else null
+        val check = TableOperation(OwnershipView.TABLE, OwnershipView.fenceKey(DOMAIN), version, null, check = true)
+        val result = one.link.commit(listOf(check, TableOperation("jobs", "job", null, one.id.value)))
+        if (result is CommitResult.Committed) writes += Write(one.id, ownership.epoch, result.versions.last())
+    }
+
+    private fun staleWrites(contest: Contest): Int {
+        val byEpoch = contest.writes.groupBy({ it.epoch }, { it.instance })
+        val reused = byEpoch.values.count { it.distinct().size > 1 }
+        return reused + contest.writes.zipWithNext().count { (earlier, later) -> later.epoch < earlier.epoch }
+    }
+
+    // Guards against two instances that place jobs in one domain at the same time.
+    @Test
+    fun `should never commit with a lower or a shared epoch`() {
+        val fenced = (1..20).map { contend(it, isFenced = true) }
+        expectThat(fenced.map { staleWrites(it) }).all { isEqualTo(0) }
+        expectThat(fenced.map { it.mostOwnersAtOnce }).all { isLessThanOrEqualTo(1) }
+        expectThat(
+            fenced.sumOf {
+                it.writes
+                    .map(Write::epoch)
+                    .distinct()
+                    .size
+            },
+        ).isGreaterThan(40)
+        // Without the check of the fence row, holders that are paused between check and effect do commit.
+        expectThat((1..20).sumOf { staleWrites(contend(it, isFenced = false)) }).isGreaterThan(0)
+    }
+
+    // Guards against a holder that acts after a pause of its process on the strength of a lapsed lease.
+    @Test
+    fun `should be unconfirmed after a pause and discard the domain when the epoch has grown`() =
+        runTest {
+            val clock = ManualClock()
+            val store = InMemoryTableService()
+            val changes = mutableListOf<OwnershipChange>()
+            val ids = listOf(InstanceId("first"), InstanceId("second"))
+            val (first, second) =
+                ids.map { id ->
+                    val self = OwnershipCandidate(id, 1)
+                    OwnershipManager(
+                        self,
+                        listOf(DOMAIN),
+                        store,
+                        clock,
+                        Random(1),
+                        { ids },
+                        listener = { changes += it },
+                    )
+                }
+            while (first.of(DOMAIN).state != OwnershipState.OWNER) clock.advance(first.step(DOMAIN))
+            clock.advance(1_500)
+            expectThat(first.of(DOMAIN).state).isEqualTo(OwnershipState.UNCONFIRMED)
+            while (second.of(DOMAIN).state != OwnershipState.OWNER) clock.advance(second.step(DOMAIN))
+            expectThat(first.of(DOMAIN).state).isEqualTo(OwnershipState.UNCONFIRMED)
+            first.step(DOMAIN)
+            expectThat(first.of(DOMAIN)).isEqualTo(Ownership(DOMAIN, OwnershipState.NOT_OWNER, Epoch(2), 0))
+            expectThat(changes).isEqualTo(
+                mutableListOf(
+                    OwnershipChange.Acquired(DOMAIN, Epoch(1)),
+                    OwnershipChange.Acquired(DOMAIN, Epoch(2)),
+                    OwnershipChange.Lost(DOMAIN, Epoch(1)),
+                ),
+            )
+        }
+
+    private class Outage(
+        val callsPerInstanceInOutage: Int,
+        val callsInBusiestSecondAfter: Int,
+        val epochsAfter: List<Epoch>,
+    )
+
+    private fun outage(
+        seed: Int,
+        isGuarded: Boolean,
+    ): Outage {
+        var result = Outage(0, 0, emptyList())
+        runTest {
+            var isDown = false
+            val store = InMemoryTableService { if (isDown) StoreFault.DOWN else StoreFault.NONE }
+            val all = contenders(11, store, seed, isGuarded = isGuarded)
+            all.forEach { it.start(backgroundScope) }
+            advanceTimeBy(20_000)
+            isDown = true
+            advanceTimeBy(20_000)
+            expectThat(DOMAINS.flatMap { all.ownersOf(it) }).isEmpty()
+            isDown = false
+            advanceTimeBy(20_000)
+            DOMAINS.forEach { expectThat(all.ownersOf(it)).hasSize(1) }
+            // The outage counts from second 25, when all instances have noticed it.
+            val inOutage = all.maxOf { one -> (25L..39L).maxOf { one.link.callsBySecond[it] ?: 0 } }
+            val after = (40L..59L).maxOf { second -> all.sumOf { it.link.callsBySecond[second] ?: 0 } }
+            val epochs =
+                DOMAINS.map { domain ->
+                    all
+                        .ownersOf(domain)
+                        .single()
+                        .manager
+                        .of(domain)
+                        .epoch
+                }
+            result = Outage(inOutage, after, epochs)
+        }
+        return result
+    }
+
+    // Guards against a store that is overrun when it comes back and against owners that change for no reason.
+    @Test
+    fun `should spare a store that is down and keep the owners when it is back`() {
+        val guarded = (1..10).map { outage(it, isGuarded = true) }
+        expectThat(guarded.map { it.callsPerInstanceInOutage }).all { isLessThanOrEqualTo(1) }
+        expectThat(guarded.flatMap { it.epochsAfter }).all { isEqualTo(Epoch(1)) }
+        expectThat(guarded.map { it.callsInBusiestSecondAfter }).all { isLessThanOrEqualTo(65) }
+        expectThat(outage(1, isGuarded = false).callsPerInstanceInOutage).isGreaterThan(1)
+    }
+
+    /** Time until the only instance owns the domain, when the answer of commit number [lost] is lost. */
+    private fun timeToOwn(
+        lost: Int,
+        hasReadBack: Boolean,
+    ): Long {
+        var ownedAtMs = 0L
+        runTest {
+            var commits = 0
+            val store =
+                InMemoryTableService { operations ->
+                    if (operations.isNotEmpty()) commits++
+                    when {
+                        operations.isNotEmpty() && commits == lost -> StoreFault.LOSE_ANSWER
+                        operations.isEmpty() && commits == lost && !hasReadBack -> StoreFault.DOWN
+                        else -> StoreFault.NONE
+                    }
+                }
+            val clock = ManualClock()
+            val self = OwnershipCandidate(InstanceId("only"), 7)
+            val manager = OwnershipManager(self, listOf(DOMAIN), store, clock, Random(1), { listOf(self.id) })
+            repeat(8) {
+                val waitMs = manager.step(DOMAIN)
+                if (manager.of(DOMAIN).state != OwnershipState.OWNER) ownedAtMs += waitMs
+                clock.advance(waitMs)
+            }
+            val row = (store.read(OwnershipView.TABLE, OwnershipView.leaseKey(DOMAIN)) as? ReadResult.Found)?.value
+            if (hasReadBack) expectThat(row?.toLease()?.epoch).isEqualTo(Epoch(1))
+            if (hasReadBack) manager.release()
+        }
+        return ownedAtMs
+    }
+
+    // Guards against an instance that treats its own acquisition, renewal or release as another instance's.
+    @Test
+    fun `should read back after a lost acknowledgement of any write`() {
+        expectThat((1..10).map { timeToOwn(it, hasReadBack = true) }).all { isEqualTo(0) }
+        expectThat(timeToOwn(1, hasReadBack = false)).isGreaterThan(0)
+    }
+
+    // Guards against a domain without owner after a restart, and against a takeover slower than urgent work allows.
+    @Test
+    fun `should take over a dead owner's domain within two seconds and a released one sooner`() =
+        runTest {
+            val all = contenders(3, InMemoryTableService(), 5, listOf(DOMAIN))
+            all.forEach { it.start(backgroundScope) }
+            advanceTimeBy(10_000)
+            val first = all.ownersOf(DOMAIN).single()
+            first.job.cancel()
+            advanceTimeBy(2_100)
+            val second = all.minus(first).ownersOf(DOMAIN).single()
+            second.job.cancel()
+            second.manager.release()
+            advanceTimeBy(2_300)
+            expectThat(
+                all
+                    .minus(setOf(first, second))
+                    .ownersOf(DOMAIN)
+                    .single()
+                    .manager
+                    .of(DOMAIN)
+                    .epoch,
+            ).isEqualTo(Epoch(3))
+        }
+}
