--- /dev/null
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/peer/PeerCodec.kt
@@ -0,0 +1,117 @@
+package org.orioleferry.coordination.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborLabel
+import org.orioleferry.core.model.InstanceId
+
+/** Envelope of every frame. The body is opaque, so that a message of an unknown kind does not break the frame. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal class Envelope(
+    @CborLabel(1) val version: Int,
+    @CborLabel(2) val kind: String,
+    @CborLabel(3) val from: InstanceId,
+    @CborLabel(4) val incarnation: Long,
+    @CborLabel(5) val sequence: Long,
+    @CborLabel(6) @ByteString val body: ByteArray,
+)
+
+/** Result of decoding a frame. */
+internal sealed interface Decoded {
+    data class Message(
+        val received: ReceivedMessage,
+    ) : Decoded
+
+    /** A kind or version that this program does not know. The sender may be newer. */
+    data class Unknown(
+        val kind: String,
+    ) : Decoded
+
+    data class Malformed(
+        val reason: String,
+    ) : Decoded
+}
+
+/** Encodes and decodes frames. */
+@OptIn(ExperimentalSerializationApi::class)
+internal object PeerCodec {
+    private const val VERSION = 1
+
+    private val cbor =
+        Cbor {
+            ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
+            useDefiniteLengthEncoding = true
+        }
+
+    private val serializers: Map<String, KSerializer<out PeerMessage>> =
+        mapOf(
+            "heartbeat" to Heartbeat.serializer(),
+            "notes-request" to NotesRequest.serializer(),
+            "notes" to Notes.serializer(),
+            "job-hint" to JobHint.serializer(),
+            "events-request" to EventsRequest.serializer(),
+            "events" to Events.serializer(),
+            "keep-alive" to KeepAlive.serializer(),
+        )
+
+    fun encode(
+        from: InstanceId,
+        incarnation: Long,
+        sequence: Long,
+        message: PeerMessage,
+    ): ByteArray =
+        when (message) {
+            is Heartbeat -> encode(from, incarnation, sequence, "heartbeat", Heartbeat.serializer(), message)
+            is NotesRequest -> encode(from, incarnation, sequence, "notes-request", NotesRequest.serializer(), message)
+            is Notes -> encode(from, incarnation, sequence, "notes", Notes.serializer(), message)
+            is JobHint -> encode(from, incarnation, sequence, "job-hint", JobHint.serializer(), message)
+            is EventsRequest ->
+                encode(
+                    from,
+                    incarnation,
+                    sequence,
+                    "events-request",
+                    EventsRequest.serializer(),
+                    message,
+                )
+            is Events -> encode(from, incarnation, sequence, "events", Events.serializer(), message)
+            KeepAlive -> encode(from, incarnation, sequence, "keep-alive", KeepAlive.serializer(), KeepAlive)
+        }
+
+    private fun <T> encode(
+        from: InstanceId,
+        incarnation: Long,
+        sequence: Long,
+        kind: String,
+        serializer: KSerializer<T>,
+        message: T,
+    ): ByteArray {
+        val body = cbor.encodeToByteArray(serializer, message)
+        return cbor.encodeToByteArray(
+            Envelope.serializer(),
+            Envelope(VERSION, kind, from, incarnation, sequence, body),
+        )
+    }
+
+    fun decode(frame: ByteArray): Decoded =
+        try {
+            val envelope = cbor.decodeFromByteArray(Envelope.serializer(), frame)
+            val serializer = serializers[envelope.kind]
+            if (serializer == null || envelope.version != VERSION) {
+                Decoded.Unknown(envelope.kind)
+            } else {
+                val message = cbor.decodeFromByteArray(serializer, envelope.body)
+                Decoded.Message(
+                    ReceivedMessage(envelope.from, envelope.incarnation, envelope.sequence, message),
+                )
+            }
+        } catch (failure: RuntimeException) {
+            // The decoder throws several unrelated exceptions for damaged input, not only SerializationException.
+            Decoded.Malformed(failure.toString())
+        }
+}
