Add membership and distribution of release notes

Membership: the platform's list proposes instances and heartbeats decide. Suspect after 3 s and dead after 6 s; time that the observer itself lost is not counted against the peers; messages of an earlier process or sequence are ignored. The list is read every 300 ms per entry, since one read of 981 entries is about 145 KB and every 2 s it would exceed the traffic limit by far.

Notes: a commit writes head, note and an index row for the note's id in one transaction. The index makes a repeat recognisable for notes of any age; after a lost answer the same transaction is sent again and read back. In an outage an instance is ready only with the highest version of peers that are established themselves, and after every listed peer was heard or is dead.

--- /dev/null
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/membership/InstanceListWatcher.kt
@@ -0,0 +1,52 @@
+package org.orioleferry.coordination.membership
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import org.orioleferry.platform.InstanceList
+import org.orioleferry.platform.ListedInstance
+import org.orioleferry.platform.ReadResult
+import kotlin.random.Random
+
+/**
+ * Period of the reads of the platform's list.
+ *
+ * @property minPeriodMs shortest time between two reads, and the time until a failed read is repeated.
+ * @property perEntryMs time between two reads for each entry of the list. An entry is about 150 B, so 300 ms keep the
+ * reads at 0.5 KB/s whatever the size of the fleet; direct evidence and peers' reports are faster than the list.
+ */
+public data class ListSettings(
+    val minPeriodMs: Long = 2_000,
+    val perEntryMs: Long = 300,
+)
+
+/** Reads the platform's list once for all users in this process. */
+public class InstanceListWatcher(
+    private val list: InstanceList,
+    private val random: Random,
+    private val settings: ListSettings = ListSettings(),
+) {
+    private val latest = MutableStateFlow<List<ListedInstance>?>(null)
+
+    /** The list as last read; null until the first read succeeds. A failed read keeps the previous list. */
+    public val instances: StateFlow<List<ListedInstance>?> = latest.asStateFlow()
+
+    /** Runs until cancelled. */
+    public suspend fun run() {
+        while (true) delay(step())
+    }
+
+    /** Reads the list once and returns the time until the next read in milliseconds. */
+    public suspend fun step(): Long {
+        val result = list.list()
+        if (result is ReadResult.Found) latest.value = result.value
+        val entries = (result as? ReadResult.Found)?.value?.size ?: 0
+        val periodMs = maxOf(settings.minPeriodMs, entries * settings.perEntryMs)
+        return periodMs - random.nextLong(periodMs / JITTER_DIVISOR + 1)
+    }
+
+    private companion object {
+        const val JITTER_DIVISOR = 10
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/membership/Member.kt
@@ -0,0 +1,49 @@
+package org.orioleferry.coordination.membership
+
+import org.orioleferry.coordination.peer.Heartbeat
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.InstanceId
+
+/** What this instance believes of another entry instance. */
+public enum class MemberState {
+    /** Listed by the platform and not heard from yet. */
+    JOINING,
+
+    /** Heartbeats arrive. */
+    ALIVE,
+
+    /** Heartbeats are missing. */
+    SUSPECT,
+
+    /** The instance shuts down. */
+    LEAVING,
+
+    /** Heartbeats are missing for so long that the instance is not waited for. */
+    DEAD,
+}
+
+/** An entry instance as this one sees it. [heartbeat] is the last one; null before the first. */
+public data class Member(
+    val id: InstanceId,
+    val dataCentre: DataCentre,
+    val state: MemberState,
+    val incarnation: Long,
+    val heartbeat: Heartbeat?,
+)
+
+/**
+ * Times of the membership, in milliseconds.
+ *
+ * @property checkMs period of the check for missing heartbeats.
+ * @property slowObserverMs a check that is late by more than this shows that this process was slow; the time lost
+ * is not counted against the peers.
+ * @property forgetMs time after which a dead instance that the platform no longer lists is forgotten.
+ */
+public data class MembershipSettings(
+    val heartbeatMs: Long = 1_000,
+    val suspectMs: Long = 3_000,
+    val deadMs: Long = 6_000,
+    val checkMs: Long = 250,
+    val slowObserverMs: Long = 1_000,
+    val forgetMs: Long = 60_000,
+)
--- a/coordination/src/main/kotlin/org/orioleferry/coordination/notes/CommittedNote.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/notes/CommittedNote.kt
@@ -7,13 +7,15 @@
 /**
  * A release note as it stands in the table `notes`.
  *
- * @property digest SHA-256 in hexadecimal of the previous digest and the note, so that a chain can be verified.
+ * @property contentDigest SHA-256 of the note as its author sent it, which tells a repeat from another note of the same id.
+ * @property digest SHA-256 over the previous digest, the version and [contentDigest], so that a chain can be verified.
  * @property committedWallMs wall clock of the committing instance, for display.
  */
 @Serializable
 public data class CommittedNote(
     val version: Long,
     val note: ReleaseNote,
+    val contentDigest: String,
     val digest: String,
     val instance: InstanceId,
     val committedWallMs: Long,
