Add daemon settings that are checked whole

Cause: the daemon needs typed settings, and an operator should see all mistakes of a file in one run. Change: package settings reads kaml's node tree section by section. Rules over several keys are checked last and skipped for values that are already reported. Every bound of body, header, frame, queue and table of callers is a setting.

--- /dev/null
+++ b/core/src/main/kotlin/org/orioleferry/core/settings/SettingsParser.kt
@@ -0,0 +1,164 @@
+package org.orioleferry.core.settings
+
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import com.charleskorn.kaml.YamlMap
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.InstanceId
+import org.orioleferry.core.settings.NumberUnit.BYTES
+import org.orioleferry.core.settings.NumberUnit.COUNT
+import org.orioleferry.core.settings.NumberUnit.MILLISECONDS
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+// A period above ten minutes is far outside of what any of the bounds in the design page allows for.
+private val PERIOD_MS = 10L..600_000L
+private val DELAY_MS = 0L..600_000L
+private val PORT = 0..65_535
+private val BUFFER_BYTES = 1_024..16_777_216
+private val QUEUE = 1..1_000_000
+private val NAME = Regex("[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
+private const val NAME_RULE = "a name of 1 to 63 letters, digits, '-' or '_'"
+private const val WHOLE_FILE = "a file of YAML sections such as 'instance', 'listen' and 'platform'"
+
+internal fun loadSettings(path: Path): SettingsResult =
+    try {
+        parseSettings(Files.readString(path), path.toString())
+    } catch (e: IOException) {
+        val found = "an unreadable one: ${e.javaClass.simpleName}"
+        SettingsResult.Rejected(listOf(SettingsProblem(path.toString(), 0, "", "a readable UTF-8 file", found)))
+    }
+
+internal fun parseSettings(
+    text: String,
+    file: String,
+): SettingsResult {
+    val problems = ProblemCollector(file)
+    val node =
+        try {
+            Yaml.default.parseToYamlNode(text)
+        } catch (e: YamlException) {
+            problems.add(e.line, "", WHOLE_FILE, e.message.lineSequence().first())
+            return SettingsResult.Rejected(problems.sorted())
+        }
+    if (node !is YamlMap) {
+        problems.add(node.location.line, "", WHOLE_FILE, describe(node))
+        return SettingsResult.Rejected(problems.sorted())
+    }
+    val root = SectionReader(node, "", 1, problems)
+    val settings = readSections(root)
+    root.finish()
+    checkCombinations(settings, problems)
+    val found = problems.sorted()
+    return if (found.isEmpty()) SettingsResult.Loaded(settings) else SettingsResult.Rejected(found)
+}
+
+private fun readSections(root: SectionReader): DaemonSettings =
+    DaemonSettings(
+        instance = root.read("instance") { readInstance() },
+        listen = root.read("listen") { readListen() },
+        platform = root.read("platform") { readPlatform() },
+        ownership = root.read("ownership") { readOwnership() },
+        membership = root.read("membership") { readMembership() },
+        notes = root.read("notes") { NoteSettings(period("pullMs", NoteSettings().pullMs)) },
+        requests = root.read("requests") { readRequests() },
+        jobs = root.read("jobs") { readJobs() },
+        peers = root.read("peers") { readPeers() },
+        events = root.read("events") { EventSettings(int("bufferSize", COUNT, QUEUE, EventSettings().bufferSize)) },
+        drain = root.read("drain") { readDrain() },
+    )
+
+private fun <T> SectionReader.read(
+    name: String,
+    body: SectionReader.() -> T,
+): T {
+    val section = section(name)
+    return section.body().also { section.finish() }
+}
+
+private fun SectionReader.period(
+    name: String,
+    default: Long,
+): Long = long(name, MILLISECONDS, PERIOD_MS, default)
+
+private fun SectionReader.readInstance(): InstanceSettings =
+    InstanceSettings(
+        id = InstanceId(text("id", NAME_RULE, NAME::matches)),
+        dataCentre = DataCentre(text("dataCentre", NAME_RULE, NAME::matches)),
+    )
+
+private fun SectionReader.readListen(): ListenSettings =
+    ListenSettings(
+        host = text("host", "an IP address that peers can reach, such as 127.0.0.1", ::isReachableAddress),
+        httpPort = int("httpPort", COUNT, PORT, null),
+        peerPort = int("peerPort", COUNT, PORT, null),
+    )
+
+private fun SectionReader.readPlatform(): PlatformSettings {
+    val rule = "a URL with an IP address and a port, such as http://127.0.0.1:7000"
+    return PlatformSettings(text("baseUrl", rule, ::isPlainBaseUrl), period("deadlineMs", 800))
+}
+
+private fun SectionReader.readOwnership(): OwnershipSettings {
+    val default = OwnershipSettings()
+    return OwnershipSettings(
+        ttlMs = period("ttlMs", default.ttlMs),
+        renewMs = period("renewMs", default.renewMs),
+        firstStandbyReadMs = period("firstStandbyReadMs", default.firstStandbyReadMs),
+        otherStandbyReadMs = period("otherStandbyReadMs", default.otherStandbyReadMs),
+        rankDelayMs = long("rankDelayMs", MILLISECONDS, DELAY_MS, default.rankDelayMs),
+    )
+}
+
+private fun SectionReader.readMembership(): MembershipSettings {
+    val default = MembershipSettings()
+    return MembershipSettings(
+        heartbeatMs = period("heartbeatMs", default.heartbeatMs),
+        suspectMs = period("suspectMs", default.suspectMs),
+        deadMs = period("deadMs", default.deadMs),
+        selfLateMs = period("selfLateMs", default.selfLateMs),
+        listPullMs = period("listPullMs", default.listPullMs),
+    )
+}
+
+private fun SectionReader.readRequests(): RequestSettings {
+    val default = RequestSettings()
+    return RequestSettings(
+        maxBodyBytes = int("maxBodyBytes", BYTES, BUFFER_BYTES, default.maxBodyBytes),
+        maxHeaderBytes = int("maxHeaderBytes", BYTES, BUFFER_BYTES, default.maxHeaderBytes),
+        maxConnections = int("maxConnections", COUNT, QUEUE, default.maxConnections),
+        maxQueued = int("maxQueued", COUNT, QUEUE, default.maxQueued),
+        maxCallers = int("maxCallers", COUNT, QUEUE, default.maxCallers),
+        maxRecordedAnswerBytes = int("maxRecordedAnswerBytes", BYTES, BUFFER_BYTES, default.maxRecordedAnswerBytes),
+        defaultDeadlineMs = period("defaultDeadlineMs", default.defaultDeadlineMs),
+        recordMs = period("recordMs", default.recordMs),
+    )
+}
+
+private fun SectionReader.readJobs(): JobSettings {
+    val default = JobSettings()
+    return JobSettings(
+        taskLeaseTtlMs = period("taskLeaseTtlMs", default.taskLeaseTtlMs),
+        reclaimGraceMs = long("reclaimGraceMs", MILLISECONDS, DELAY_MS, default.reclaimGraceMs),
+        scanMs = period("scanMs", default.scanMs),
+        maxQueued = int("maxQueued", COUNT, QUEUE, default.maxQueued),
+    )
+}
+
+private fun SectionReader.readPeers(): PeerSettings {
+    val default = PeerSettings()
+    return PeerSettings(
+        maxFrameBytes = int("maxFrameBytes", BYTES, BUFFER_BYTES, default.maxFrameBytes),
+        maxQueuedFrames = int("maxQueuedFrames", COUNT, QUEUE, default.maxQueuedFrames),
+        progressMs = period("progressMs", default.progressMs),
+    )
+}
+
+private fun SectionReader.readDrain(): DrainSettings {
+    val default = DrainSettings()
+    return DrainSettings(
+        refuseAfterMs = long("refuseAfterMs", MILLISECONDS, DELAY_MS, default.refuseAfterMs),
+        limitMs = period("limitMs", default.limitMs),
+    )
+}
