Add the data centres of the deployment to the settings

An instance has to know for which data centres it competes, and the settings named only its own. The list is optional and defaults to that one.

--- a/bench/src/main/kotlin/org/orioleferry/bench/process/Deployment.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/process/Deployment.kt
@@ -154,7 +154,7 @@
 
     private fun launchDaemon(id: String): Pair<String, LocalProcess> {
         val file = folder.resolve("$id.yaml")
-        Files.writeString(file, settingsOf(id, dataCentreOf(id), platformUrl))
+        Files.writeString(file, settingsOf(id, dataCentreOf(id), size.dataCentres, platformUrl))
         return id to launch("$id-${all.size}", DAEMON_MAIN, listOf("--config", file.toString()))
     }
 
@@ -214,10 +214,12 @@
 private fun settingsOf(
     id: String,
     dataCentre: String,
+    dataCentres: List<String>,
     platformUrl: String,
 ): String =
     """
     instance: {id: $id, dataCentre: $dataCentre}
     listen: {host: 127.0.0.1, httpPort: 0, peerPort: 0}
     platform: {baseUrl: "$platformUrl", deadlineMs: 800}
+    dataCentres: [${dataCentres.joinToString()}]
     """.trimIndent() + "\n"
--- a/core/src/main/kotlin/org/orioleferry/core/settings/DaemonSettings.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/settings/DaemonSettings.kt
@@ -4,11 +4,17 @@
 import org.orioleferry.core.model.InstanceId
 import java.nio.file.Path
 
-/** Settings of one daemon. Times are in milliseconds, sizes in bytes. */
+/**
+ * Settings of one daemon. Times are in milliseconds, sizes in bytes.
+ *
+ * @property dataCentres all data centres of the deployment, each of which needs an owner; empty means only the one of
+ * this instance.
+ */
 public data class DaemonSettings(
     val instance: InstanceSettings,
     val listen: ListenSettings,
     val platform: PlatformSettings,
+    val dataCentres: List<DataCentre> = emptyList(),
     val ownership: OwnershipSettings = OwnershipSettings(),
     val membership: MembershipSettings = MembershipSettings(),
     val notes: NoteSettings = NoteSettings(),
@@ -18,6 +24,9 @@
     val events: EventSettings = EventSettings(),
     val drain: DrainSettings = DrainSettings(),
 ) {
+    /** The data centres that this instance competes for. */
+    public val domains: List<DataCentre> get() = dataCentres.ifEmpty { listOf(instance.dataCentre) }
+
     /** Longest deadline that a class may have, so that a graceful shutdown cuts no request in progress. */
     public val longestDeadlineMs: Long get() = drain.limitMs - drain.refuseAfterMs
 
--- a/core/src/main/kotlin/org/orioleferry/core/settings/SectionReader.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/settings/SectionReader.kt
@@ -75,6 +75,21 @@
         return content
     }
 
+    fun texts(
+        name: String,
+        expected: String,
+        isValid: (String) -> Boolean,
+    ): List<String> {
+        val node = find(name) ?: return emptyList()
+        val items = (node as? YamlList)?.items
+        val values = items?.map { (it as? YamlScalar)?.content ?: "" }
+        if (values == null || values.isEmpty() || !values.all(isValid)) {
+            problems.add(node.location.line, fullKey(name), expected, describe(node))
+            return emptyList()
+        }
+        return values
+    }
+
     fun int(
         name: String,
         unit: NumberUnit,
--- a/core/src/main/kotlin/org/orioleferry/core/settings/SettingsParser.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/settings/SettingsParser.kt
@@ -59,6 +59,7 @@
         instance = root.read("instance") { readInstance() },
         listen = root.read("listen") { readListen() },
         platform = root.read("platform") { readPlatform() },
+        dataCentres = root.texts("dataCentres", "a list of data centres", NAME::matches).map(::DataCentre),
         ownership = root.read("ownership") { readOwnership() },
         membership = root.read("membership") { readMembership() },
         notes = root.read("notes") { NoteSettings(period("pullMs", NoteSettings().pullMs)) },
