--- /dev/null
+++ b/core/src/main/kotlin/org/orioleferry/core/api/History.kt
@@ -0,0 +1,24 @@
+package org.orioleferry.core.api
+
+import kotlinx.serialization.Serializable
+import org.orioleferry.core.model.Policy
+import org.orioleferry.core.model.ReleaseNote
+
+/** A committed release note and the version that it created. */
+@Serializable
+public data class NoteEntry(
+    val version: Long,
+    val note: ReleaseNote,
+)
+
+/** Answer of `GET /v1/notes`, in the order of versions. */
+@Serializable
+public data class NoteHistory(
+    val notes: List<NoteEntry>,
+)
+
+/** Answer of `GET /v1/policies`. */
+@Serializable
+public data class PolicyList(
+    val policies: List<Policy>,
+)
