--- a/core/src/main/kotlin/org/orioleferry/core/api/Api.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/api/Api.kt
@@ -169,3 +169,18 @@
 public data class EventList(
     val events: List<Event>,
 )
+
+/**
+ * Answer of `GET /v1/requests/{workspace}/{key}`.
+ *
+ * @property state `intent` while the outcome is unknown, `done`, `failed`, or `refused` when the request did not run.
+ * @property result the recorded answer of a request that is done, unless it was too large to be recorded.
+ */
+@Serializable
+public data class RequestStatus(
+    val requestId: String,
+    val state: String,
+    val worker: WorkerId,
+    val result: String? = null,
+    val reason: String? = null,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/UpstreamPool.kt
@@ -0,0 +1,203 @@
+package org.orioleferry.daemon.requests
+
+import org.orioleferry.coordination.limits.ConcurrencyLimiter
+import org.orioleferry.coordination.limits.FailureBackoff
+import org.orioleferry.coordination.limits.LimitSignal
+import org.orioleferry.coordination.limits.RetryBudget
+import org.orioleferry.coordination.upstream.Upstream
+import org.orioleferry.coordination.upstream.UpstreamDirectory
+import org.orioleferry.coordination.upstream.UpstreamEvidence
+import org.orioleferry.coordination.upstream.UpstreamState
+import org.orioleferry.core.Clock
+import org.orioleferry.core.model.WorkerId
+import org.orioleferry.platform.DispatchResult
+import org.orioleferry.platform.NotRunReason
+import org.orioleferry.platform.WorkerClient
+import org.orioleferry.platform.WorkerClientProvider
+import kotlin.random.Random
+
+/** Limits and client of one upstream. */
+internal class UpstreamEntry(
+    val upstream: Upstream,
+    val client: WorkerClient,
+    val limiter: ConcurrencyLimiter,
+    val budget: RetryBudget,
+    val backoff: FailureBackoff,
+) {
+    val hasRoom: Boolean get() = limiter.hasRoom && backoff.mayTry()
+
+    fun tryAcquire(): Boolean {
+        if (!backoff.mayTry() || !limiter.tryAcquire()) return false
+        backoff.onTry()
+        return true
+    }
+}
+
+/** The right to run one request on one upstream. It is given back exactly once, through [UpstreamPool]. */
+internal class UpstreamSlot(
+    val entry: UpstreamEntry,
+) {
+    var isReleased: Boolean = false
+
+    val worker: WorkerId get() = entry.upstream.id
+    val baseUrl: String get() = entry.upstream.baseUrl
+    val client: WorkerClient get() = entry.client
+}
+
+/** The live upstreams with their limits. Thread-safe. */
+internal class UpstreamPool(
+    private val directory: UpstreamDirectory,
+    private val clients: WorkerClientProvider,
+    private val clock: Clock,
+    private val random: Random,
+    private val slotsPerWorker: Int,
+    private val onRoom: () -> Unit,
+) {
+    private var entries: Map<WorkerId, UpstreamEntry> = emptyMap()
+    private var live: List<UpstreamEntry> = emptyList()
+    private var refreshedMs = clock.monotonicMs() - REFRESH_MS
+
+    /** Whether any upstream is live. */
+    val hasLive: Boolean get() = synchronized(this) { refreshed().isNotEmpty() }
+
+    /** Number of live upstreams. */
+    val liveCount: Int get() = synchronized(this) { refreshed().size }
+
+    /** Whether a live upstream that is not in [excluded] exists, with room or without. */
+    fun hasOther(excluded: Set<WorkerId>): Boolean =
+        synchronized(this) { refreshed().any { it.upstream.id !in excluded } }
+
+    /** Takes a slot on an upstream that is not in [excluded], or returns null when none has room. */
+    fun tryAcquire(excluded: Set<WorkerId> = emptySet()): UpstreamSlot? =
+        synchronized(this) {
+            val candidates = refreshed()
+            val chosen = sample(candidates, excluded) ?: firstWithRoom(candidates, excluded)
+            if (chosen != null && chosen.tryAcquire()) UpstreamSlot(chosen) else null
+        }
+
+    /** Client of a worker by the address in a row, for workers that are live and for those that are not. */
+    fun clientOf(
+        worker: WorkerId,
+        baseUrl: String,
+    ): WorkerClient =
+        synchronized(this) { entries[worker]?.takeIf { it.upstream.baseUrl == baseUrl }?.client } ?: clients(baseUrl)
+
+    /** Gives back a slot on which nothing was sent. */
+    fun releaseUnused(slot: UpstreamSlot) {
+        release(slot) {
+            slot.entry.backoff.onNothing()
+            LimitSignal.NONE
+        }
+    }
+
+    /** Gives back a slot with the result of the dispatch, which counts as direct evidence about the worker. */
+    fun release(
+        slot: UpstreamSlot,
+        result: DispatchResult,
+    ) {
+        release(slot) {
+            evidenceOf(result).forEach { directory.report(slot.worker, it) }
+            noteResult(slot.entry, result)
+        }
+    }
+
+    private inline fun release(
+        slot: UpstreamSlot,
+        signal: () -> LimitSignal,
+    ) {
+        if (slot.isReleased) return
+        slot.isReleased = true
+        slot.entry.limiter.release(signal())
+        onRoom()
+    }
+
+    private fun noteResult(
+        entry: UpstreamEntry,
+        result: DispatchResult,
+    ): LimitSignal =
+        when (result) {
+            is DispatchResult.Answered -> {
+                entry.budget.onSuccess()
+                entry.backoff.onSuccess()
+                LimitSignal.SUCCESS
+            }
+
+            is DispatchResult.Failed -> {
+                entry.backoff.onFailure()
+                LimitSignal.NONE
+            }
+
+            is DispatchResult.Unknown -> {
+                entry.backoff.onFailure()
+                LimitSignal.OVERLOAD
+            }
+
+            is DispatchResult.NotRun -> {
+                if (result.reason == NotRunReason.UNREACHABLE) entry.backoff.onFailure() else entry.backoff.onNothing()
+                if (result.reason == NotRunReason.BUSY) LimitSignal.OVERLOAD else LimitSignal.NONE
+            }
+        }
+
+    private fun evidenceOf(result: DispatchResult): List<UpstreamEvidence> =
+        when (result) {
+            is DispatchResult.Answered -> listOf(UpstreamEvidence.ANSWERED, UpstreamEvidence.WORK_SUCCEEDED)
+
+            is DispatchResult.Failed -> listOf(UpstreamEvidence.ANSWERED, UpstreamEvidence.WORK_FAILED)
+
+            is DispatchResult.Unknown -> listOf(UpstreamEvidence.UNREACHABLE)
+
+            is DispatchResult.NotRun ->
+                when (result.reason) {
+                    NotRunReason.LEAVING -> listOf(UpstreamEvidence.LEAVING)
+                    NotRunReason.UNREACHABLE -> listOf(UpstreamEvidence.UNREACHABLE)
+                    NotRunReason.BUSY, NotRunReason.SEALED -> listOf(UpstreamEvidence.ANSWERED)
+                }
+        }
+
+    private fun sample(
+        candidates: List<UpstreamEntry>,
+        excluded: Set<WorkerId>,
+    ): UpstreamEntry? {
+        if (candidates.isEmpty()) return null
+        return List(SAMPLES) { candidates[random.nextInt(candidates.size)] }
+            .filter { it.upstream.id !in excluded && it.hasRoom }
+            .minByOrNull { it.limiter.inFlight.toDouble() / it.limiter.limit }
+    }
+
+    private fun firstWithRoom(
+        candidates: List<UpstreamEntry>,
+        excluded: Set<WorkerId>,
+    ): UpstreamEntry? = candidates.firstOrNull { it.upstream.id !in excluded && it.hasRoom }
+
+    private fun refreshed(): List<UpstreamEntry> {
+        val now = clock.monotonicMs()
+        if (now - refreshedMs < REFRESH_MS) return live
+        refreshedMs = now
+        entries = directory.snapshot().associate { it.id to entryOf(it) }
+        live = entries.values.filter { it.upstream.state == UpstreamState.LIVE }
+        return live
+    }
+
+    private fun entryOf(upstream: Upstream): UpstreamEntry {
+        val known = entries[upstream.id]
+        if (known == null || known.upstream.baseUrl != upstream.baseUrl) {
+            return UpstreamEntry(
+                upstream,
+                clients(upstream.baseUrl),
+                ConcurrencyLimiter(clock, slotsPerWorker),
+                RetryBudget(clock),
+                FailureBackoff(clock, random),
+            )
+        }
+        if (known.upstream == upstream) return known
+        return UpstreamEntry(upstream, known.client, known.limiter, known.budget, known.backoff)
+    }
+
+    private companion object {
+        /** The directory changes once a second at most; a change takes effect well within the bound of 3 s. */
+        const val REFRESH_MS = 100L
+
+        /** The least loaded of a few random upstreams is close to the least loaded of all, at constant cost. */
+        const val SAMPLES = 3
+    }
+}
