Add job intake, gang runs and first-fit placement

Cause: accepted jobs had no row, no owner and no placement. Change: JobService commits a queued row together with an inbox entry; the owner of a domain loads the rows, claims its workers with its epoch, places with first fit, and drives each gang through starting, running and done with the fence row checked in every transaction. Ended rows move to keys of their own, and the owner's periodic scan reads only the inbox, since scanning all job rows every second would exceed the 3 KB/s of control traffic. JobRecord gains finishedLeases, so that a new owner knows which members had run to their end.

--- a/core/src/main/kotlin/org/orioleferry/core/model/Jobs.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/model/Jobs.kt
@@ -58,6 +58,7 @@
  * @property workMs run time that the stand-in worker simulates.
  * @property attempt number of the current or next start, from 1.
  * @property failedWorkers healthy workers on which the job has failed.
+ * @property finishedLeases leases of members of this attempt that are known to have run to their end.
  * @property completedMs work kept by checkpoints of earlier attempts, in milliseconds.
  */
 @Serializable
@@ -75,6 +76,7 @@
     val epoch: Epoch = Epoch.NONE,
     val members: List<Member> = emptyList(),
     val failedWorkers: List<WorkerId> = emptyList(),
+    val finishedLeases: List<String> = emptyList(),
     val completedMs: Long = 0,
     val startedWallMs: Long? = null,
     val endedWallMs: Long? = null,
--- /dev/null
+++ b/core/src/main/kotlin/org/orioleferry/core/placement/Policies.kt
@@ -0,0 +1,26 @@
+package org.orioleferry.core.placement
+
+import org.orioleferry.core.model.Configuration
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.PlacementKind
+
+/** The policy that implements [kind]. */
+public fun placementPolicyOf(kind: PlacementKind): PlacementPolicy =
+    when (kind) {
+        PlacementKind.FIRST_FIT -> firstFit
+        PlacementKind.BEST_FIT -> firstFit
+        PlacementKind.GUARANTEE_AWARE -> firstFit
+    }
+
+/** Name of the policy that is in force where no policy names the data centre. */
+public const val DEFAULT_POLICY: String = "default"
+
+/**
+ * The kind of placement in force in [dataCentre]: the first policy by name that lists it, then `default`,
+ * then guarantee-aware, which is the only one that keeps guarantees when a configuration names none.
+ */
+public fun Configuration.placementKindOf(dataCentre: DataCentre): PlacementKind {
+    val specific = policies.values.filter { dataCentre in it.dataCentres }.minByOrNull { it.name }
+    val chosen = specific ?: policies[DEFAULT_POLICY]?.takeIf { it.dataCentres.isEmpty() }
+    return chosen?.placement ?: PlacementKind.GUARANTEE_AWARE
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobIntake.kt
@@ -0,0 +1,134 @@
+package org.orioleferry.daemon.jobs
+
+import org.orioleferry.core.Failure
+import org.orioleferry.core.FailureCode
+import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.JobSubmission
+import org.orioleferry.core.event.EventType
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.JobId
+import org.orioleferry.core.model.JobRecord
+import org.orioleferry.platform.CommitResult
+import org.orioleferry.platform.ReadResult
+import org.orioleferry.platform.TableOperation
+
+/** Accepts, reads and cancels jobs on any instance, through the table service only. */
+internal class JobIntake(
+    private val parts: JobParts,
+) {
+    private val tables = parts.tables
+
+    suspend fun submit(submission: JobSubmission): Outcome<JobRecord> {
+        invalid(submission)?.let { return Outcome.Failed(it) }
+        val domain = submission.dataCentre ?: choose() ?: return Outcome.Failed(noFleet())
+        val record = submission.toRecord(JobId.of(domain, submission.suffix ?: parts.newSuffix()), parts.clock.wallMs())
+        val accepted = commitNew(record)
+        if (accepted is Outcome.Success) {
+            parts.events(EventType.JOB_ACCEPTED, attributes(record))
+            parts.sendHint(record.jobId)
+        }
+        return accepted
+    }
+
+    suspend fun status(jobId: JobId): Outcome<JobRecord> =
+        when (val result = tables.readJob(jobId)) {
+            is ReadResult.Unavailable -> Outcome.Failed(storeUnavailable())
+            is ReadResult.Found -> result.value?.let { Outcome.Success(it.record) } ?: Outcome.Failed(notFound(jobId))
+        }
+
+    suspend fun cancel(jobId: JobId): Outcome<JobRecord> {
+        repeat(WRITE_TRIES) {
+            val read = tables.readJob(jobId)
+            if (read !is ReadResult.Found) return Outcome.Failed(storeUnavailable())
+            val held = read.value ?: return Outcome.Failed(notFound(jobId))
+            if (held.record.state.isFinal || held.record.cancelRequested) return Outcome.Success(held.record)
+            val next = held.record.copy(cancelRequested = true)
+            val result = tables.commit(JobRows.replace(held, next) + JobRows.notify(jobId))
+            if (result is CommitResult.Unavailable) return Outcome.Failed(storeUnavailable())
+            if (result is CommitResult.Committed) {
+                parts.sendHint(jobId)
+                return Outcome.Success(next)
+            }
+        }
+        return Outcome.Failed(outcomeUnknown(jobId))
+    }
+
+    private suspend fun commitNew(record: JobRecord): Outcome<JobRecord> {
+        val operations =
+            listOf(
+                TableOperation(JobRows.TABLE, record.key, expected = 0, value = JobRows.encode(record)),
+                TableOperation(JobRows.TABLE, JobRows.endedKey(record.jobId), expected = 0, value = null, check = true),
+                JobRows.notify(record.jobId),
+            )
+        repeat(WRITE_TRIES) { attempt ->
+            when (tables.commit(operations)) {
+                is CommitResult.Committed -> return Outcome.Success(record)
+                is CommitResult.Unavailable -> {
+                    val failure = if (attempt == 0) storeUnavailable(isNotRun = true) else outcomeUnknown(record.jobId)
+                    return Outcome.Failed(failure)
+                }
+
+                is CommitResult.Conflicted -> return existing(record)
+                // The same transaction again shows whether the first one took effect: both create the row.
+                is CommitResult.Unknown -> Unit
+            }
+        }
+        return Outcome.Failed(outcomeUnknown(record.jobId))
+    }
+
+    private suspend fun existing(record: JobRecord): Outcome<JobRecord> {
+        val read = tables.readJob(record.jobId) as? ReadResult.Found
+        val found = read?.value?.record ?: return Outcome.Failed(outcomeUnknown(record.jobId))
+        val isSame = found.request() == record.request()
+        return if (isSame) Outcome.Success(found) else Outcome.Failed(keyReused(record.jobId))
+    }
+
+    private fun JobRecord.request(): List<Any> = listOf(workspace, caller, jobClass, gang, declaredRunMs, workMs)
+
+    private fun invalid(submission: JobSubmission): Failure? {
+        val configuration = parts.configuration()
+        val gang = submission.gang
+        val isWellFormed = gang.members > 0 && gang.acceleratorsPerMember > 0 && submission.workMs >= 0
+        val isNamed = submission.suffix?.matches(SUFFIX) ?: true
+        return when {
+            !isWellFormed -> refusal(FailureCode.BAD_REQUEST, "members and accelerators must be positive")
+            !isNamed -> refusal(FailureCode.BAD_REQUEST, "a suffix has 1 to 64 letters, digits, '-' or '_'")
+            submission.workspace !in configuration.workspaces ->
+                refusal(FailureCode.UNKNOWN_WORKSPACE, "workspace ${submission.workspace} is not known")
+
+            submission.jobClass !in configuration.classes ->
+                refusal(FailureCode.UNKNOWN_CLASS, "class ${submission.jobClass} is not known")
+
+            else -> null
+        }
+    }
+
+    private fun choose(): DataCentre? =
+        parts.upstreams
+            .snapshot()
+            .firstOrNull()
+            ?.dataCentre
+
+    private fun attributes(record: JobRecord) =
+        mapOf("job" to record.jobId.value, "workspace" to record.workspace.value)
+
+    private companion object {
+        const val WRITE_TRIES = 4
+        val SUFFIX = Regex("[A-Za-z0-9_-]{1,64}")
+    }
+}
+
+private fun JobSubmission.toRecord(
+    jobId: JobId,
+    wallMs: Long,
+): JobRecord =
+    JobRecord(
+        jobId = jobId,
+        workspace = workspace,
+        caller = caller,
+        jobClass = jobClass,
+        gang = gang,
+        declaredRunMs = declaredRunMs,
+        workMs = workMs,
+        submittedWallMs = wallMs,
+    )
--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobService.kt
@@ -0,0 +1,56 @@
+package org.orioleferry.daemon.jobs
+
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.JobSubmission
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.JobId
+import org.orioleferry.core.model.JobRecord
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.coroutines.ContinuationInterceptor
+
+/** Jobs of all data centres: accepts them on every instance and runs those of the domains that this instance owns. */
+public class JobService(
+    private val parts: JobParts,
+) {
+    private val intake = JobIntake(parts)
+    private val controllers = ConcurrentHashMap<DataCentre, DomainController>()
+
+    /** Commits the job as queued and returns its row. A failure with `isNotRun` left no row. */
+    public suspend fun submit(submission: JobSubmission): Outcome<JobRecord> = intake.submit(submission)
+
+    /** The job's row. */
+    public suspend fun status(jobId: JobId): Outcome<JobRecord> = intake.status(jobId)
+
+    /** Asks the owner to cancel the job, and returns the row. A job that has ended stays as it is. */
+    public suspend fun cancel(jobId: JobId): Outcome<JobRecord> = intake.cancel(jobId)
+
+    /** Makes the owner look at [jobId] at once, when this instance owns its domain. */
+    @Suppress("RedundantSuspendModifier")
+    public suspend fun onHint(jobId: JobId) {
+        controllers[jobId.dataCentre]?.hint(jobId)
+    }
+
+    /** Runs the controllers of all data centres that the directory knows; never returns. */
+    public suspend fun run(): Unit =
+        coroutineScope {
+            val dispatcher = currentCoroutineContext()[ContinuationInterceptor] as CoroutineDispatcher
+            while (true) {
+                for (domain in parts.upstreams
+                    .snapshot()
+                    .map { it.dataCentre }
+                    .distinct()) {
+                    if (controllers.containsKey(domain)) continue
+                    val controller = DomainController(parts, domain)
+                    controllers[domain] = controller
+                    launch { withContext(dispatcher.limitedParallelism(1)) { controller.run() } }
+                }
+                delay(parts.settings.inboxPeriodMs)
+            }
+        }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/SnapshotBuilder.kt
@@ -0,0 +1,121 @@
+package org.orioleferry.daemon.jobs
+
+import org.orioleferry.core.Clock
+import org.orioleferry.core.model.Configuration
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.JobClass
+import org.orioleferry.core.model.JobClassName
+import org.orioleferry.core.model.JobRecord
+import org.orioleferry.core.model.JobState
+import org.orioleferry.core.model.WorkerId
+import org.orioleferry.core.placement.FleetSnapshot
+import org.orioleferry.core.placement.PlacedGang
+import org.orioleferry.core.placement.PlacementMember
+import org.orioleferry.core.placement.PlacementWorker
+import org.orioleferry.core.placement.PlannedReclaim
+import org.orioleferry.core.placement.RunTimes
+import org.orioleferry.core.placement.WaitingJob
+
+/** Turns the owner's state into the arguments of a placement policy. */
+internal class SnapshotBuilder(
+    private val configuration: Configuration,
+    private val domain: DataCentre,
+    private val fleet: Fleet,
+    private val clock: Clock,
+) {
+    fun fleet(
+        runs: Collection<GangRun>,
+        history: RunHistory,
+        reclaims: List<PlannedReclaim> = emptyList(),
+    ): FleetSnapshot {
+        val held = HashMap<WorkerId, Int>()
+        runs.forEach { run -> run.holdings().forEach { (worker, amount) -> held.merge(worker, amount, Int::plus) } }
+        return FleetSnapshot(
+            dataCentre = domain,
+            nowMs = clock.monotonicMs(),
+            workers = workers(held),
+            gangs = runs.map(::gang).filter { it.members.isNotEmpty() },
+            guarantees =
+                configuration.workspaces.mapValues { (_, workspace) ->
+                    workspace.guarantees.filter { it.dataCentre == domain }
+                },
+            quotas =
+                configuration.workspaces.values
+                    .mapNotNull { space ->
+                        space.quotas.find { it.dataCentre == domain }?.let {
+                            space.name to
+                                it.accelerators
+                        }
+                    }.toMap(),
+            runTimes = history.runTimes(),
+            reclaims = reclaims,
+        )
+    }
+
+    fun waiting(record: JobRecord): WaitingJob {
+        val jobClass = classOf(record.jobClass)
+        return WaitingJob(
+            jobId = record.jobId,
+            workspace = record.workspace,
+            jobClass = record.jobClass,
+            gang = record.gang,
+            urgency = jobClass.urgency,
+            isPreemptible = jobClass.preemptible,
+            submittedMs = record.submittedWallMs,
+            avoid = record.failedWorkers.toSet(),
+        )
+    }
+
+    private fun workers(held: Map<WorkerId, Int>): List<PlacementWorker> =
+        fleet.listed().mapNotNull { upstream ->
+            val capacity = fleet.statusOf(upstream.id)?.accelerators ?: return@mapNotNull null
+            val free = capacity - (held[upstream.id] ?: 0)
+            PlacementWorker(upstream.id, upstream.rack, capacity, free, fleet.isUsable(upstream))
+        }
+
+    private fun gang(run: GangRun): PlacedGang {
+        val record = run.held.record
+        val jobClass = classOf(record.jobClass)
+        val members = run.holdings().map { (worker, amount) -> PlacementMember(worker, amount) }
+        return PlacedGang(
+            jobId = record.jobId,
+            workspace = record.workspace,
+            jobClass = record.jobClass,
+            urgency = jobClass.urgency,
+            isPreemptible = jobClass.preemptible,
+            members = members,
+            startedMs = run.startedMs,
+            lostWorkMs = (clock.monotonicMs() - run.startedMs) * members.sumOf { it.accelerators },
+            isStopping = run.isStopping,
+        )
+    }
+
+    // A class that was withdrawn while its jobs run is treated as one that may not be stopped for another.
+    private fun classOf(name: JobClassName): JobClass =
+        configuration.classes[name] ?: JobClass(name, preemptible = false)
+}
+
+/** Run times of the last finished jobs of each class, as this owner observed them. */
+internal class RunHistory {
+    private val samples = HashMap<JobClassName, ArrayDeque<Long>>()
+
+    fun add(record: JobRecord) {
+        // The time between the first start and the end of a job that was stopped between is no run time.
+        if (record.state != JobState.DONE || record.attempt > 1) return
+        val startedMs = record.startedWallMs ?: return
+        val endedMs = record.endedWallMs ?: return
+        val list = samples.getOrPut(record.jobClass) { ArrayDeque() }
+        list.addLast(endedMs - startedMs)
+        if (list.size > SAMPLES) list.removeFirst()
+    }
+
+    fun runTimes(): Map<JobClassName, RunTimes> =
+        samples.mapValues { (_, list) ->
+            val sorted = list.sorted()
+            RunTimes(sorted[sorted.size / 2], sorted[sorted.size * 9 / 10], sorted.size)
+        }
+
+    private companion object {
+        const val SAMPLES = 200
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/jobs/JobWorld.kt
@@ -0,0 +1,185 @@
+@file:OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
+
+package org.orioleferry.daemon.jobs
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.orioleferry.coordination.ownership.Ownership
+import org.orioleferry.coordination.ownership.OwnershipState
+import org.orioleferry.coordination.ownership.OwnershipView
+import org.orioleferry.coordination.upstream.Upstream
+import org.orioleferry.coordination.upstream.UpstreamDirectory
+import org.orioleferry.coordination.upstream.UpstreamEvidence
+import org.orioleferry.coordination.upstream.UpstreamState
+import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.JobSubmission
+import org.orioleferry.core.event.EventType
+import org.orioleferry.core.model.Adjacency
+import org.orioleferry.core.model.Configuration
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.Epoch
+import org.orioleferry.core.model.Gang
+import org.orioleferry.core.model.Guarantee
+import org.orioleferry.core.model.JobClass
+import org.orioleferry.core.model.JobClassName
+import org.orioleferry.core.model.JobRecord
+import org.orioleferry.core.model.WorkerId
+import org.orioleferry.core.model.Workspace
+import org.orioleferry.core.model.WorkspaceName
+import org.orioleferry.platform.TableOperation
+import org.orioleferry.standins.AnswerFault
+import org.orioleferry.standins.CallFault
+import org.orioleferry.standins.FunctionClock
+import org.orioleferry.standins.InMemoryTableService
+import org.orioleferry.standins.InProcessWorkerClient
+import org.orioleferry.standins.SimulatedWorker
+import org.orioleferry.standins.StoreFault
+import org.orioleferry.standins.WorkerBehaviour
+import org.orioleferry.standins.WorkerCall
+import org.orioleferry.standins.WorkerSpecification
+
+internal val domain = DataCentre("kalamata-a")
+internal val sheds = WorkspaceName("sheds")
+internal val audit = WorkspaceName("audit")
+internal val urgentClass = JobClassName("urgent")
+internal val routineClass = JobClassName("routine")
+internal val onceClass = JobClassName("once")
+
+/** One data centre in virtual time: a store, workers, and any number of instances that compete for it. */
+internal class JobWorld(
+    private val test: TestScope,
+    workerCount: Int = 4,
+    val settings: JobSettings = JobSettings(),
+) {
+    val clock = FunctionClock { test.currentTime }
+    var storeFault: suspend (List<TableOperation>) -> StoreFault = { StoreFault.NONE }
+    var callFault: suspend (WorkerCall) -> CallFault = { CallFault.NONE }
+    var answerFault: suspend (WorkerCall) -> AnswerFault = { AnswerFault.NONE }
+    val behaviours = HashMap<WorkerId, WorkerBehaviour>()
+    val states = HashMap<WorkerId, UpstreamState>()
+    val evidence = mutableListOf<Pair<WorkerId, UpstreamEvidence>>()
+    val events = mutableListOf<Triple<Long, EventType, Map<String, String>>>()
+    var hintsArrive = true
+    val tables = InMemoryTableService { operations -> storeFault(operations) }
+    val workers =
+        List(workerCount) { index ->
+            val specification = WorkerSpecification(WorkerId("w%02d".format(index)), domain, "rack-${index / 6}")
+            SimulatedWorker(specification, clock) { behaviours[specification.id] ?: WorkerBehaviour() }
+        }
+    var configuration =
+        Configuration(
+            workspaces = listOf(Workspace(sheds), Workspace(audit)).associateBy { it.name },
+            classes =
+                listOf(
+                    JobClass(urgentClass, urgency = 0, preemptible = false),
+                    JobClass(routineClass, urgency = 7),
+                    JobClass(onceClass, idempotent = false),
+                ).associateBy { it.name },
+        )
+    val instances = mutableListOf<Instance>()
+
+    fun guarantee(
+        workspace: WorkspaceName,
+        count: Int,
+        accelerators: Int = 8,
+        adjacency: Adjacency = Adjacency.WORKER,
+    ) {
+        val shaped = Workspace(workspace, guarantees = listOf(Guarantee(domain, count, accelerators, adjacency)))
+        configuration = configuration.copy(workspaces = configuration.workspaces + (workspace to shaped))
+    }
+
+    /** Starts an instance that owns the domain with the next epoch; the fence row moves in the same step. */
+    suspend fun startOwner(): Instance {
+        val epoch = Epoch(instances.size + 1L)
+        val fence = TableOperation(OwnershipView.TABLE, OwnershipView.fenceKey(domain), null, "$epoch")
+        val saved = storeFault
+        storeFault = { StoreFault.NONE }
+        tables.commit(listOf(fence))
+        val row = tables.read(OwnershipView.TABLE, OwnershipView.fenceKey(domain))
+        storeFault = saved
+        val version = (row as org.orioleferry.platform.ReadResult.Found).value!!.version
+        return Instance(Ownership(domain, OwnershipState.OWNER, epoch, version)).also { instances += it }
+    }
+
+    inner class Instance(
+        var ownership: Ownership,
+    ) {
+        private val scope = CoroutineScope(test.coroutineContext + SupervisorJob(test.coroutineContext[Job]))
+        private var suffixes = 0
+        var pauseUntilMs = 0L
+        val service: JobService =
+            JobService(
+                JobParts(
+                    tables = tables,
+                    upstreams = directory,
+                    ownership = { ownership },
+                    workers = ::client,
+                    configuration = { configuration },
+                    clock = clock,
+                    events = { type, attributes -> events += Triple(test.currentTime, type, attributes) },
+                    sendHint = { id -> if (hintsArrive) instances.forEach { it.service.onHint(id) } },
+                    settings = settings,
+                    newSuffix = { "j${ownership.epoch}-${suffixes++}" },
+                ),
+            )
+        private val running = scope.launch { service.run() }
+
+        /** Ends the process between two steps, without any clean-up. */
+        fun kill() {
+            ownership = ownership.copy(state = OwnershipState.NOT_OWNER)
+            running.cancel()
+            scope.cancel()
+        }
+    }
+
+    val directory =
+        object : UpstreamDirectory {
+            override fun snapshot(): List<Upstream> =
+                workers.map {
+                    val id = it.specification.id
+                    Upstream(id, domain, it.specification.rack, id.value, states[id] ?: UpstreamState.LIVE)
+                }
+
+            override fun report(
+                worker: WorkerId,
+                evidence: UpstreamEvidence,
+            ) {
+                this@JobWorld.evidence += worker to evidence
+            }
+        }
+
+    private fun client(baseUrl: String) =
+        InProcessWorkerClient(
+            workers.first { it.id == baseUrl },
+            scope = test.backgroundScope,
+            beforeEffect = { callFault(it) },
+            afterEffect = { answerFault(it) },
+        )
+
+    fun gang(
+        members: Int,
+        accelerators: Int,
+        adjacency: Adjacency = Adjacency.DATA_CENTRE,
+    ): Gang = Gang(members, accelerators, adjacency)
+
+    suspend fun submit(
+        gang: Gang,
+        workMs: Long,
+        jobClass: JobClassName = routineClass,
+        workspace: WorkspaceName = sheds,
+        suffix: String? = null,
+    ): JobRecord {
+        val submission = JobSubmission(workspace, "clerk", jobClass, gang, workMs, workMs, domain, suffix)
+        return (instances.last().service.submit(submission) as Outcome.Success).value
+    }
+
+    suspend fun row(job: JobRecord): JobRecord = (instances.last().service.status(job.jobId) as Outcome.Success).value
+
+    /** Ends all instances, so that the test's scope can finish. */
+    fun close() = instances.forEach { it.kill() }
+}
