--- a/bench/src/main/kotlin/org/orioleferry/bench/load/DaemonClient.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/load/DaemonClient.kt
@@ -4,6 +4,7 @@
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.delete
 import io.ktor.client.request.get
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
@@ -67,6 +68,8 @@
 
     suspend fun job(id: JobId): CallResult<JobRecord> = get("/v1/jobs/$id")
 
+    suspend fun cancel(id: JobId): CallResult<JobRecord> = call { base -> client.delete("$base/v1/jobs/$id") }
+
     suspend fun jobs(): CallResult<JobList> = get("/v1/jobs")
 
     suspend fun apply(note: ReleaseNote): CallResult<NoteAccepted> = post("/v1/notes", benchJson.encodeToString(note))
