--- /dev/null
+++ b/core/src/test/kotlin/org/orioleferry/core/settings/ExamplesTest.kt
@@ -0,0 +1,51 @@
+package org.orioleferry.core.settings
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import org.orioleferry.core.Outcome
+import org.orioleferry.core.model.Configuration
+import org.orioleferry.core.notes.NoteLimits
+import org.orioleferry.core.notes.applyNote
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import java.nio.file.Path
+
+class ExamplesTest {
+    private val folder = Path.of("..", "examples")
+    private val acceleratorsPerDataCentre = 64
+
+    private fun settings(deployment: String): DaemonSettings {
+        val result = DaemonSettings.load(folder.resolve("$deployment.yaml"))
+        return expectThat(result).isA<SettingsResult.Loaded>().subject.settings
+    }
+
+    // Guards against an example that the daemon refuses, or that shows other values than the defaults it names.
+    @ParameterizedTest
+    @ValueSource(strings = ["kalamata", "omotnica"])
+    fun `the settings should load and show the defaults`(deployment: String) {
+        val loaded = settings(deployment)
+        expectThat(loaded).isEqualTo(DaemonSettings(loaded.instance, loaded.listen, loaded.platform))
+    }
+
+    // Guards against an example note that is refused, or that guarantees more than a data centre holds.
+    @ParameterizedTest
+    @ValueSource(strings = ["kalamata", "omotnica"])
+    fun `the note should be accepted and fit the data centres`(deployment: String) {
+        val file = loadReleaseNote(folder.resolve("$deployment-note.yaml"))
+        val note = expectThat(file).isA<NoteFileResult.Loaded>().subject.note
+        val limits = NoteLimits(settings(deployment).longestDeadlineMs)
+        val configuration =
+            expectThat(applyNote(Configuration(), note, limits)).isA<Outcome.Success<Configuration>>().subject.value
+        expectThat(configuration.workspaces).hasSize(4)
+        val guarantees = configuration.workspaces.values.flatMap { it.guarantees }
+        expectThat(guarantees.groupBy { it.dataCentre }).hasSize(4).get { values }.all {
+            get { sumOf { it.count * it.accelerators } }.isLessThanOrEqualTo(acceleratorsPerDataCentre)
+        }
+        expectThat(configuration.classes.values.singleOrNull { !it.idempotent }).isNotNull()
+    }
+}
