--- /dev/null
+++ b/core/src/main/kotlin/org/orioleferry/core/replay/GeneratedDay.kt
@@ -0,0 +1,194 @@
+package org.orioleferry.core.replay
+
+import org.orioleferry.core.model.Adjacency
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.Gang
+import org.orioleferry.core.model.JobClassName
+import org.orioleferry.core.model.WorkspaceName
+import java.util.Random
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.pow
+
+/**
+ * Parameters of a generated day.
+ *
+ * @property load demand of the jobs that can run, as a share of the fleet's capacity.
+ * @property neverFitsShare share of jobs that no data centre can run.
+ * @property cancelledShare share of jobs that are cancelled, apart from the waves.
+ */
+public data class DayParameters(
+    val load: Double = 0.8,
+    val jobs: Int = 450,
+    val bursts: Int = 3,
+    val jobsPerBurst: Int = 30,
+    val neverFitsShare: Double = 0.02,
+    val cancelledShare: Double = 0.05,
+    val cancellationWaves: Int = 1,
+)
+
+/**
+ * A day of jobs for [deployment]: lognormal run times, bursts of one class, declared times wrong by up to 10 times
+ * either way, gangs to 64 accelerators, jobs that can never run and cancellations. The same [seed] gives the same day.
+ */
+public fun generateDay(
+    deployment: Deployment,
+    seed: Long,
+    parameters: DayParameters = DayParameters(),
+): List<StreamJob> = DayGenerator(deployment, seed, parameters).generate()
+
+private class DayGenerator(
+    private val deployment: Deployment,
+    seed: Long,
+    private val parameters: DayParameters,
+) {
+    // java.util.Random has a specified algorithm, so that a seed gives the same day on every machine.
+    private val random = Random(seed)
+    private var count = 0
+
+    fun generate(): List<StreamJob> {
+        val routine = List(parameters.jobs) { job(deployment.mix.pick { it.share }, random.nextLongBelow(DAY_MS)) }
+        val bursts = List(parameters.bursts) { burst(it) }.flatten()
+        val jobs = withCancellations(spread((routine + bursts).sortedBy { it.submittedMs }))
+        return scaleToLoad(jobs)
+    }
+
+    /** Jobs of one class and caller within ten minutes; the bursts alternate between small and large jobs. */
+    private fun burst(index: Int): List<StreamJob> {
+        val startMs = random.nextLongBelow(DAY_MS - BURST_MS)
+        val sorted = deployment.mix.sortedBy { it.largestGang }
+        val half = sorted.size / 2
+        val mix =
+            if (index % 2 ==
+                0
+            ) {
+                sorted[random.nextInt(half)]
+            } else {
+                sorted[half + random.nextInt(sorted.size - half)]
+            }
+        val number = if (index % 2 == 0) parameters.jobsPerBurst else parameters.jobsPerBurst / 2
+        return List(number) {
+            job(mix, startMs + random.nextLongBelow(BURST_MS)).copy(caller = "${mix.workspace}-$LARGE_CALLER")
+        }
+    }
+
+    private fun job(
+        mix: JobMix,
+        submittedMs: Long,
+    ): StreamJob {
+        val gaussian = random.nextGaussian()
+        val workMs = (mix.medianRunMs * exp(RUN_SIGMA * gaussian)).toLong().coerceIn(SHORTEST_RUN_MS, LONGEST_RUN_MS)
+        val neverFits = random.nextDouble() < parameters.neverFitsShare
+        val caller = if (random.nextDouble() < LARGE_CALLER_SHARE) LARGE_CALLER else 1 + random.nextInt(SMALL_CALLERS)
+        return StreamJob(
+            id = "j${count++}",
+            submittedMs = submittedMs,
+            workspace = WorkspaceName(mix.workspace),
+            caller = "${mix.workspace}-$caller",
+            jobClass = JobClassName(mix.jobClass),
+            gang = if (neverFits) impossibleGang() else gang(mix.largestGang),
+            declaredRunMs = (workMs * 10.0.pow(random.nextDouble() * 2 - 1)).toLong(),
+            workMs = workMs,
+        )
+    }
+
+    private fun gang(largest: Int): Gang {
+        val size =
+            GANG_SIZES
+                .filterKeys { it <= largest }
+                .toList()
+                .pick { it.second }
+                .first
+        val perWorker = deployment.acceleratorsPerWorker
+        return when {
+            size <= perWorker -> Gang(1, size, Adjacency.WORKER)
+            size <= 2 * perWorker -> Gang(size / perWorker, perWorker, Adjacency.RACK)
+            else -> Gang(size / perWorker, perWorker, Adjacency.DATA_CENTRE)
+        }
+    }
+
+    private fun impossibleGang(): Gang =
+        if (random.nextBoolean()) {
+            Gang(1, deployment.acceleratorsPerWorker + 1, Adjacency.WORKER)
+        } else {
+            Gang(deployment.workersPerDataCentre + 1, deployment.acceleratorsPerWorker, Adjacency.DATA_CENTRE)
+        }
+
+    private fun spread(jobs: List<StreamJob>): List<StreamJob> = assignDataCentres(deployment.dataCentres, jobs)
+
+    private fun withCancellations(jobs: List<StreamJob>): List<StreamJob> {
+        val single =
+            jobs.map { job ->
+                if (random.nextDouble() >= parameters.cancelledShare) return@map job
+                job.copy(cancelAfterMs = random.nextLongBelow(2 * job.workMs))
+            }
+        return (0 until parameters.cancellationWaves).fold(single) { list, _ -> wave(list) }
+    }
+
+    /** Cancels at one moment every second job that was submitted in the hour before. */
+    private fun wave(jobs: List<StreamJob>): List<StreamJob> {
+        val momentMs = WAVE_WINDOW_MS + random.nextLongBelow(DAY_MS - WAVE_WINDOW_MS)
+        return jobs.map { job ->
+            val ageMs = momentMs - job.submittedMs
+            if (ageMs !in 0..WAVE_WINDOW_MS || random.nextBoolean()) job else job.copy(cancelAfterMs = ageMs)
+        }
+    }
+
+    private fun scaleToLoad(jobs: List<StreamJob>): List<StreamJob> {
+        val capacity = deployment.acceleratorsPerDataCentre.toDouble() * deployment.dataCentres.size * DAY_MS
+        val demand =
+            jobs.filter { it.cancelAfterMs == null && canFit(it) }.sumOf {
+                it.gang.accelerators.toDouble() *
+                    it.workMs
+            }
+        val factor = parameters.load * capacity / demand
+        return jobs.map {
+            val workMs = (it.workMs * factor).toLong().coerceAtLeast(1)
+            it.copy(workMs = workMs, declaredRunMs = (it.declaredRunMs * factor).toLong().coerceAtLeast(1))
+        }
+    }
+
+    private fun canFit(job: StreamJob): Boolean =
+        job.gang.accelerators <= deployment.acceleratorsPerDataCentre &&
+            job.gang.acceleratorsPerMember <= deployment.acceleratorsPerWorker
+
+    private fun <T> List<T>.pick(weight: (T) -> Double): T {
+        var left = random.nextDouble() * sumOf(weight)
+        return firstOrNull {
+            left -= weight(it)
+            left < 0
+        } ?: last()
+    }
+
+    private fun Random.nextLongBelow(bound: Long): Long = (nextDouble() * bound).toLong()
+
+    private companion object {
+        const val BURST_MS = 600_000L
+        const val WAVE_WINDOW_MS = 3_600_000L
+        const val SHORTEST_RUN_MS = 60_000L
+        const val LONGEST_RUN_MS = 21_600_000L
+        const val LARGE_CALLER = 0
+        const val LARGE_CALLER_SHARE = 0.6
+        const val SMALL_CALLERS = 8
+        val RUN_SIGMA = ln(2.5)
+
+        // Shares of gang sizes in accelerators.
+        val GANG_SIZES =
+            mapOf(1 to 0.27, 2 to 0.18, 4 to 0.18, 8 to 0.22, 16 to 0.10, 32 to 0.04, 64 to 0.01)
+    }
+}
+
+internal const val DAY_MS: Long = 86_400_000
+
+/** Gives every job without a data centre the one that got the least work so far. */
+internal fun assignDataCentres(
+    dataCentres: List<DataCentre>,
+    jobs: List<StreamJob>,
+): List<StreamJob> {
+    val assigned = dataCentres.associateWithTo(LinkedHashMap()) { 0.0 }
+    return jobs.map { job ->
+        val chosen = job.dataCentre?.takeIf { it in assigned } ?: assigned.minBy { it.value }.key
+        assigned.merge(chosen, job.gang.accelerators.toDouble() * job.workMs, Double::plus)
+        job.copy(dataCentre = chosen)
+    }
+}
