Test group commit of request rows

A lost answer is settled by sending the same compare-and-set again instead of reading the row back: a read cannot exclude that the transaction takes effect later.

Measured: 100 concurrent intents on a store with a delay of 10 ms take fewer than 10 transactions; a transaction applied 30 s late changes nothing.

--- /dev/null
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/IntentJournalTest.kt
@@ -0,0 +1,148 @@
+package org.orioleferry.daemon.requests
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.orioleferry.core.model.InstanceId
+import org.orioleferry.core.model.WorkerId
+import org.orioleferry.platform.CommitResult
+import org.orioleferry.platform.ReadResult
+import org.orioleferry.platform.TableOperation
+import org.orioleferry.platform.TableService
+import org.orioleferry.standins.FunctionClock
+import org.orioleferry.standins.InMemoryTableService
+import org.orioleferry.standins.StoreFault
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class IntentJournalTest {
+    private val record =
+        RequestRecord("r1", RecordState.INTENT, SHEDS, CREDIT, WorkerId("w0"), "w0", InstanceId("e1"), "d", 0)
+
+    // Guards against one store write for each request, which the store cannot bear.
+    @Test
+    fun `concurrent intents should share transactions`() =
+        runTest {
+            val journal = journal(InMemoryTableService { slow() })
+            val results = List(100) { async { write(journal, "k$it") } }.awaitAll()
+            expectThat(results).all { isA<WriteResult.Written>() }
+            expectThat(journal.transactions).isLessThan(10)
+        }
+
+    // Guards against a repeat that fails or delays the requests it shares a transaction with, and against two writes of
+    // one row that pass the comparison together.
+    @Test
+    fun `a conflict of one row should not fail the others`() =
+        runTest {
+            val journal = journal(InMemoryTableService { slow() })
+            write(journal, "k7")
+            val results = (List(20) { "k$it" } + "k3").map { async { it to write(journal, it) } }.awaitAll()
+            val conflicts = results.filter { it.second is WriteResult.Conflict }.map { it.first }.toSet()
+            expectThat(conflicts).isEqualTo(setOf("k3", "k7"))
+            expectThat(results.count { it.second is WriteResult.Written }).isEqualTo(19)
+        }
+
+    // Guards against a request that is refused although its intent was written.
+    @Test
+    fun `a write whose answer is lost should be recognised as its own`() =
+        runTest {
+            var commits = 0
+            val store =
+                InMemoryTableService {
+                    if (it.isNotEmpty() &&
+                        commits++ == 0
+                    ) {
+                        StoreFault.LOSE_ANSWER
+                    } else {
+                        StoreFault.NONE
+                    }
+                }
+            expectThat(write(journal(store), "k1")).isEqualTo(WriteResult.Written(1))
+        }
+
+    // Guards against a transaction that takes effect after its row was read back as absent.
+    @Test
+    fun `a transaction that takes effect late should not overwrite what was concluded`() =
+        runTest {
+            val store = InMemoryTableService()
+            val late = LateStore(store, this)
+            val journal = journal(late)
+            val first = write(journal, "k1")
+            expectThat(first).isA<WriteResult.Written>()
+            delay(60_000)
+            val row = (journal.read("k1") as ReadResult.Found).value
+            expectThat(row?.version).isEqualTo((first as WriteResult.Written).version)
+        }
+
+    // Guards against an answer that is recorded only if the store works at the moment of the answer.
+    @Test
+    fun `a final write should be repeated in the background until it succeeds`() =
+        runTest {
+            var isDown = false
+            val journal = journal(InMemoryTableService { if (isDown) StoreFault.DOWN else StoreFault.NONE })
+            write(journal, "k1")
+            isDown = true
+            expectThat(journal.finish(record.done("ok"), "k1", 1)).isEqualTo(WriteResult.Unknown)
+            isDown = false
+            delay(2_000)
+            expectThat((journal.read("k1") as ReadResult.Found).value?.record?.state).isEqualTo(RecordState.DONE)
+        }
+
+    // Guards against a long outage that fills the memory.
+    @Test
+    fun `waiting writes should be bounded`() =
+        runTest {
+            val journal = journal(InMemoryTableService { StoreFault.DOWN })
+            val results =
+                List(
+                    6_000,
+                ) { async { journal.finish(record.copy(requestId = "r$it"), "k$it", 0) } }.awaitAll()
+            expectThat(journal.backlog).isLessThan(IntentJournal.MAX_PENDING + 2 * IntentJournal.MAX_BATCH)
+            expectThat(results.count { it == WriteResult.Unavailable }).isEqualTo(6_000 - IntentJournal.MAX_PENDING)
+        }
+
+    private fun TestScope.journal(table: TableService): IntentJournal {
+        val clock = FunctionClock { testScheduler.currentTime }
+        return IntentJournal(
+            table,
+            clock,
+            RequestSettings(InstanceId("e1")),
+        ).also { backgroundScope.launch { it.run() } }
+    }
+
+    private suspend fun write(
+        journal: IntentJournal,
+        key: String,
+    ) = journal.write(record.copy(requestId = "r-$key"), key, 0, 5_000)
+
+    private suspend fun slow(): StoreFault {
+        delay(10)
+        return StoreFault.NONE
+    }
+
+    /** Answers the first transaction as unknown and applies it 30 s later. */
+    private class LateStore(
+        private val store: InMemoryTableService,
+        private val scope: TestScope,
+    ) : TableService by store {
+        private var commits = 0
+
+        override suspend fun commit(operations: List<TableOperation>): CommitResult {
+            if (commits++ > 0) return store.commit(operations)
+            scope.backgroundScope.launch {
+                delay(30_000)
+                store.commit(operations)
+            }
+            return CommitResult.Unknown("no answer")
+        }
+    }
+}
