Resolve requests that dead instances left behind

A row in the state intent stayed open until somebody repeated the request. Each instance now scans one page of the table per period and takes over the rows of dead instances that are assigned to it. An attempt is identified by its request identifier, so that a newer attempt of a live instance is never sealed.

A pass over the table takes longer as the table grows; rows are never removed.

--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Dispatcher.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Dispatcher.kt
@@ -105,7 +105,7 @@
         record: RequestRecord,
         reason: String,
     ): RequestResult {
-        val resolution = resolver.resolveUntil(context.rowKey, context.deadlineAtMs)
+        val resolution = resolver.resolveUntil(context.rowKey, record.requestId, context.deadlineAtMs)
         val stored = (resolution as? Resolution.Final)?.stored ?: return RequestResult.Unknown(reason)
         val isOwn = stored.record.requestId == record.requestId
         hold.release(stored.version)
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/KeyFilter.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/KeyFilter.kt
@@ -50,8 +50,9 @@
             val result = next(context)
             return when {
                 result is RequestResult.Unknown -> {
-                    resolver.offer(context.rowKey)
-                    RequestResult.Refused(RequestFailures.outcomeUnknown(hold.held?.record?.requestId, result.reason))
+                    val requestId = hold.held?.record?.requestId
+                    requestId?.let { resolver.offer(context.rowKey, it) }
+                    RequestResult.Refused(RequestFailures.outcomeUnknown(requestId, result.reason))
                 }
 
                 result is RequestResult.Refused && result.failure.isNotRun -> notRun(context, hold, result.failure)
@@ -59,7 +60,7 @@
                 else -> result
             }
         } catch (cancellation: CancellationException) {
-            hold.held?.let { resolver.offer(context.rowKey, if (hold.isSent) null else it.record.requestId) }
+            hold.attempts.lastOrNull()?.let { resolver.offer(context.rowKey, it, isUnsent = !hold.isSent) }
             throw cancellation
         } finally {
             hold.attempts.forEach(resolver::endDispatch)
@@ -76,7 +77,7 @@
             is WriteResult.Written -> RequestResult.Refused(failure.withScope(SCOPE_KEY))
             is WriteResult.Conflict -> write.row?.let(RequestResult::Existing) ?: RequestResult.Refused(failure)
             WriteResult.Unavailable, WriteResult.Unknown -> {
-                resolver.offer(context.rowKey, held.record.requestId)
+                resolver.offer(context.rowKey, held.record.requestId, isUnsent = true)
                 RequestResult.Refused(failure.withScope(SCOPE_KEY))
             }
         }
@@ -88,7 +89,7 @@
         failure: Failure,
     ): RequestResult {
         if (hold.hasUncertainIntent) {
-            hold.attempts.forEach { resolver.offer(context.rowKey, it) }
+            hold.attempts.lastOrNull()?.let { resolver.offer(context.rowKey, it, isUnsent = true) }
             return RequestResult.Refused(failure.withScope(SCOPE_CALL))
         }
         val read = if (confirmations.tryTake()) journal.read(context.rowKey) else null
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Repeats.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Repeats.kt
@@ -71,7 +71,7 @@
         stored: StoredRecord,
     ): StoredRecord? {
         if (resolver.isOrphan(stored.record)) {
-            val resolution = resolver.resolve(context.rowKey)
+            val resolution = resolver.resolve(context.rowKey, stored.record.requestId)
             return (resolution as? Resolution.Final)?.stored
         }
         return (journal.read(context.rowKey) as? ReadResult.Found)?.value
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestService.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestService.kt
@@ -14,7 +14,6 @@
 import org.orioleferry.core.event.EventSink
 import org.orioleferry.core.event.EventType
 import org.orioleferry.core.model.Configuration
-import org.orioleferry.core.model.InstanceId
 import org.orioleferry.core.model.WorkspaceName
 import org.orioleferry.platform.ReadResult
 import org.orioleferry.platform.TableService
@@ -28,7 +27,7 @@
  * [run] has to run for as long as requests are handled, since it writes the intent rows. Cancelling it, and the calls of
  * [handle], is the same as killing the instance: rows in progress stay behind in the state `intent`.
  *
- * @param liveInstances entry instances believed alive, this one included.
+ * @param peers the other entry instances.
  * @param newRequestId source of identifiers that are unique across all instances and restarts.
  */
 public class RequestService(
@@ -39,14 +38,15 @@
     private val clock: Clock,
     private val events: EventSink,
     private val settings: RequestSettings,
-    liveInstances: () -> Set<InstanceId> = { setOf(settings.instance) },
+    peers: RequestPeers,
     newRequestId: () -> String = { UUID.randomUUID().toString() },
     random: Random = Random.Default,
 ) {
     private val sharer = Sharer(clock, settings.maxQueued)
     private val pool = UpstreamPool(directory, clients, clock, random, settings.slotsPerWorker, sharer::pump)
     private val journal = IntentJournal(table, clock, settings)
-    private val resolver = Resolver(journal, pool, clock, settings, events, liveInstances)
+    private val resolver = Resolver(journal, pool, clock, settings, events, peers)
+    private val scan = OrphanScan(table, resolver, clock, settings, peers)
     private val dispatcher = Dispatcher(journal, resolver, pool, clock, settings, newRequestId, events)
     private val gate = DrainGate()
     private val keys = KeyFilter(journal, resolver, Repeats(journal, resolver, clock, settings), clock)
@@ -88,6 +88,7 @@
         coroutineScope {
             launch { journal.run() }
             launch { resolver.run() }
+            launch { scan.run() }
             launch { sharer.run() }
         }
 
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Resolver.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Resolver.kt
@@ -7,7 +7,6 @@
 import org.orioleferry.core.Clock
 import org.orioleferry.core.event.EventSink
 import org.orioleferry.core.event.EventType
-import org.orioleferry.core.model.InstanceId
 import org.orioleferry.platform.ReadResult
 import org.orioleferry.platform.SealResult
 import java.util.concurrent.ConcurrentHashMap
@@ -15,7 +14,7 @@
 
 /** What is known of a request after an attempt to resolve it. */
 internal sealed interface Resolution {
-    /** The row has its final state. */
+    /** The attempt is over: the row has a final state or belongs to another attempt. */
     data class Final(
         val stored: StoredRecord,
     ) : Resolution
@@ -40,12 +39,13 @@
     private val clock: Clock,
     private val settings: RequestSettings,
     private val events: EventSink,
-    private val liveInstances: () -> Set<InstanceId>,
+    private val peers: RequestPeers,
 ) {
-    /** A row to resolve. [unsentRequestId] is an attempt that this instance never sent and never will. */
-    private class OpenRow(
+    /** An attempt to resolve. [isUnsent] when this instance never sent it and never will. */
+    private class OpenAttempt(
         val key: String,
-        val unsentRequestId: String?,
+        val requestId: String,
+        val isUnsent: Boolean,
         val sinceMs: Long,
     ) {
         var dueMs = sinceMs
@@ -53,10 +53,10 @@
         var absentCount = 0
     }
 
-    private val open = LinkedHashMap<String, OpenRow>()
+    private val open = LinkedHashMap<String, OpenAttempt>()
     private val dispatching = ConcurrentHashMap.newKeySet<String>()
 
-    /** Rows that wait for resolution. */
+    /** Attempts that wait for resolution. */
     val openCount: Int get() = synchronized(open) { open.size }
 
     /** Notes that this instance is about to write and send [requestId]. */
@@ -74,20 +74,25 @@
         if (record.instance == settings.instance) {
             record.requestId !in dispatching
         } else {
-            record.instance !in liveInstances()
+            record.instance !in peers.liveInstances()
         }
 
-    /** Takes the row of [key] over for background resolution. A row that finds no room is found by the scan later. */
+    /**
+     * Takes over the attempt [requestId] of the row of [key] for background resolution. One that finds no room is found
+     * by the scan later.
+     */
     fun offer(
         key: String,
-        unsentRequestId: String? = null,
+        requestId: String,
+        isUnsent: Boolean = false,
     ) {
         synchronized(open) {
-            if (open.size < MAX_OPEN) open.putIfAbsent(key, OpenRow(key, unsentRequestId, clock.monotonicMs()))
+            if (open.size >= MAX_OPEN) return
+            open.putIfAbsent(requestId, OpenAttempt(key, requestId, isUnsent, clock.monotonicMs()))
         }
     }
 
-    /** Resolves offered rows until it is cancelled. */
+    /** Resolves offered attempts until it is cancelled. */
     suspend fun run() {
         while (true) {
             delay(TICK_MS)
@@ -97,14 +102,15 @@
         }
     }
 
-    /** Resolves the row of [key] again and again until it is final or [endMs] has come. */
+    /** Resolves the attempt again and again until it is final or [endMs] has come. */
     suspend fun resolveUntil(
         key: String,
+        requestId: String,
         endMs: Long,
     ): Resolution {
         var pauseMs = FIRST_PAUSE_MS
         while (clock.monotonicMs() < endMs) {
-            val resolution = withTimeoutOrNull(endMs - clock.monotonicMs()) { resolve(key) }
+            val resolution = withTimeoutOrNull(endMs - clock.monotonicMs()) { resolve(key, requestId) }
             if (resolution is Resolution.Final) return resolution
             delay(min(pauseMs, maxOf(0, endMs - clock.monotonicMs())))
             pauseMs = min(MAX_PAUSE_MS, pauseMs * 2)
@@ -112,17 +118,20 @@
         return Resolution.Open
     }
 
-    /** Seals the request of the row of [key] once and records what the worker says. */
+    /**
+     * Seals the attempt [requestId] once, if the row of [key] is still an intent for it, and records what the worker
+     * says. A row of another attempt is left alone, since that one may be in progress.
+     */
     suspend fun resolve(
         key: String,
-        unsentRequestId: String? = null,
+        requestId: String,
+        isUnsent: Boolean = false,
     ): Resolution {
         val read = journal.read(key) as? ReadResult.Found ?: return Resolution.Open
         val stored = read.value ?: return Resolution.Absent
         val record = stored.record
-        if (record.state != RecordState.INTENT) return Resolution.Final(stored)
-        val next = if (record.requestId == unsentRequestId) record.refused("it was not sent") else sealed(record)
-        if (next == null) return Resolution.Open
+        if (record.state != RecordState.INTENT || record.requestId != requestId) return Resolution.Final(stored)
+        val next = (if (isUnsent) record.refused("it was not sent") else sealed(record)) ?: return Resolution.Open
         return when (val write = journal.write(next, key, stored.version, settings.storeDeadlineMs)) {
             is WriteResult.Written -> Resolution.Final(StoredRecord(next, write.version)).also { report(key, next) }
             is WriteResult.Conflict, WriteResult.Unavailable, WriteResult.Unknown -> Resolution.Open
@@ -142,15 +151,15 @@
         }
     }
 
-    private suspend fun attend(row: OpenRow) {
-        val resolution = resolve(row.key, row.unsentRequestId)
-        if (resolution is Resolution.Absent) row.absentCount++
+    private suspend fun attend(attempt: OpenAttempt) {
+        val resolution = resolve(attempt.key, attempt.requestId, attempt.isUnsent)
+        if (resolution is Resolution.Absent) attempt.absentCount++
         synchronized(open) {
-            if (resolution is Resolution.Final || row.absentCount > MAX_ABSENT) {
-                open.remove(row.key, row)
+            if (resolution is Resolution.Final || attempt.absentCount > MAX_ABSENT) {
+                open.remove(attempt.requestId)
             } else {
-                row.dueMs = clock.monotonicMs() + row.pauseMs
-                row.pauseMs = min(MAX_PAUSE_MS, row.pauseMs * 2)
+                attempt.dueMs = clock.monotonicMs() + attempt.pauseMs
+                attempt.pauseMs = min(MAX_PAUSE_MS, attempt.pauseMs * 2)
             }
         }
     }
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
@@ -90,7 +90,7 @@
                 clock,
                 { _, _ -> },
                 settings,
-                { live.toSet() },
+                RequestPeers({ live.toSet() }, { key, candidates -> candidates.maxBy { (key + it).hashCode() } }),
                 { "$name-${requestIds++}" },
                 Random(seed + name.hashCode()),
             )
