--- /dev/null
+++ b/cli/src/main/kotlin/org/orioleferry/cli/ComparisonTable.kt
@@ -0,0 +1,74 @@
+package org.orioleferry.cli
+
+import org.orioleferry.core.replay.GroupMeasures
+import org.orioleferry.core.replay.PolicyMeasures
+import org.orioleferry.core.replay.Targets
+import java.util.Locale
+
+private const val MINUTE_MS = 60_000.0
+
+/** All measures side by side: the mean over the days, with the range when there are several. */
+internal fun comparisonTable(measures: Map<String, List<PolicyMeasures>>): String {
+    val rows =
+        overallRows(measures) + groupRows("class", measures) { it.byClass } +
+            groupRows("workspace", measures) { it.byWorkspace }
+    return textTable(listOf("measure", "target") + measures.keys, rows)
+}
+
+private fun overallRows(measures: Map<String, List<PolicyMeasures>>): List<List<String>> {
+    fun row(
+        label: String,
+        target: String,
+        value: (PolicyMeasures) -> Double,
+    ) = listOf(label, target) + measures.values.map { range(it.map(value)) }
+    return listOf(
+        row("score (weighted)", "< 1") { it.score },
+        row("mean slowdown", "") { it.all.meanSlowdown },
+        row("bound of mean slowdown", "") { it.slowdownBound },
+        row("mean slowdown / bound", "<= ${Targets.COMPLETION}") { it.completion },
+        row("p99 slowdown (bound 1)", "") { it.all.p99Slowdown },
+        row("mean wait, min", "") { it.all.meanWaitMs / MINUTE_MS },
+        row("flood: p99 of other work / calm", "<= ${Targets.FLOOD}") { it.flood },
+        row("small callers: p99 / alone", "<= ${Targets.SMALL_CALLERS}") { it.smallCallers },
+        row("Jain index over callers", ">= ${Targets.FAIRNESS}") { it.fairness },
+        row("16-gang starts at once, %", ">= ${(Targets.PROBE_SHARE * 100).toInt()}") { it.probeShare * 100 },
+        row("64-gangs started", "") { it.largeGangs.toDouble() },
+        row("64-gangs within ${Targets.DRAIN_FACTOR} x drain bound", "all") { it.largeGangsInBound.toDouble() },
+        row("free accelerators scattered, %", "") { it.fragmentation * 100 },
+        row("utilisation, %", "") { it.utilisation * 100 },
+        row("jobs done", "") { it.all.done.toDouble() },
+        row("stops for other jobs", "") { it.all.stops.toDouble() },
+        row("jobs refused as never fitting", "") { it.neverFits.toDouble() },
+        row("jobs never started", "0") { it.neverStarted.toDouble() },
+    )
+}
+
+private fun groupRows(
+    kind: String,
+    measures: Map<String, List<PolicyMeasures>>,
+    groups: (PolicyMeasures) -> Map<String, GroupMeasures>,
+): List<List<String>> {
+    val names =
+        measures.values
+            .flatten()
+            .flatMap { groups(it).keys }
+            .toSortedSet()
+    return names.flatMap { name ->
+        listOf<Pair<String, (GroupMeasures) -> Double>>(
+            "mean slowdown" to { it.meanSlowdown },
+            "p99 slowdown" to { it.p99Slowdown },
+        ).map { (label, value) ->
+            listOf("$kind $name: $label", "") +
+                measures.values.map { days -> range(days.mapNotNull { groups(it)[name] }.map(value)) }
+        }
+    }
+}
+
+private fun range(values: List<Double>): String =
+    when (values.size) {
+        0 -> "-"
+        1 -> format(values.single())
+        else -> "${format(values.average())} [${format(values.min())}..${format(values.max())}]"
+    }
+
+private fun format(value: Double): String = String.format(Locale.ROOT, "%.2f", value)
--- a/cli/src/main/kotlin/org/orioleferry/cli/ConfigCheck.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/ConfigCheck.kt
@@ -1,6 +1,5 @@
 package org.orioleferry.cli
 
-import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.arguments.multiple
@@ -13,7 +12,7 @@
 import org.orioleferry.core.settings.SettingsProblem
 import org.orioleferry.core.settings.SettingsResult
 
-internal fun configCommands() = NoOpCliktCommand("config").subcommands(ConfigCheck())
+internal fun configCommands() = CommandGroup("config", "Settings files").subcommands(ConfigCheck())
 
 @Serializable
 internal data class ProblemView(
--- a/cli/src/main/kotlin/org/orioleferry/cli/JobCommands.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/JobCommands.kt
@@ -1,6 +1,5 @@
 package org.orioleferry.cli
 
-import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.options.default
@@ -29,7 +28,7 @@
 import kotlin.time.TimeSource
 
 internal fun jobCommands() =
-    NoOpCliktCommand("job").subcommands(JobSubmit(), JobStatus(), JobListCommand(), JobCancel())
+    CommandGroup("job", "Jobs").subcommands(JobSubmit(), JobStatus(), JobListCommand(), JobCancel())
 
 @Serializable
 internal data class JobAccepted(
--- a/cli/src/main/kotlin/org/orioleferry/cli/Main.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/Main.kt
@@ -4,7 +4,6 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.core.Context
-import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.context
 import com.github.ajalt.clikt.core.parse
@@ -57,6 +56,6 @@
         Instances(),
         Timeline(),
         Late(),
-        NoOpCliktCommand("policy").subcommands(PolicyListCommand()),
+        CommandGroup("policy", "Placement policies").subcommands(PolicyListCommand(), PolicyCompare()),
         configCommands(),
     )
--- a/cli/src/main/kotlin/org/orioleferry/cli/NoteCommands.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/NoteCommands.kt
@@ -1,6 +1,5 @@
 package org.orioleferry.cli
 
-import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.options.default
@@ -21,7 +20,10 @@
 import kotlin.time.TimeSource
 
 internal fun noteCommands() =
-    NoOpCliktCommand("note").subcommands(NoteApply(), NoteDiff(), NoteStatusCommand(), NoteHistoryCommand())
+    CommandGroup(
+        "note",
+        "Release notes",
+    ).subcommands(NoteApply(), NoteDiff(), NoteStatusCommand(), NoteHistoryCommand())
 
 internal fun ToolCommand.readNote(path: Path): ReleaseNote =
     when (val result = loadReleaseNote(path)) {
--- a/cli/src/main/kotlin/org/orioleferry/cli/ViewCommands.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/ViewCommands.kt
@@ -1,6 +1,5 @@
 package org.orioleferry.cli
 
-import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
@@ -17,7 +16,7 @@
 import org.orioleferry.core.model.JobClassName
 import org.orioleferry.core.model.WorkspaceName
 
-internal fun requestCommands() = NoOpCliktCommand("request").subcommands(RequestSend())
+internal fun requestCommands() = CommandGroup("request", "Requests").subcommands(RequestSend())
 
 internal class RequestSend : DaemonCommand("send", "Send a request; with --key a repeat is safe") {
     private val workspace by option("--workspace").required()
--- /dev/null
+++ b/core/src/main/kotlin/org/orioleferry/core/replay/SlowdownBound.kt
@@ -0,0 +1,69 @@
+package org.orioleferry.core.replay
+
+import java.util.PriorityQueue
+
+/**
+ * Mean slowdown of [jobs] that no schedule can beat, with the data centres that the jobs have been assigned to.
+ *
+ * Slowdown is the time from submission to the end relative to the run time, so the sum of slowdowns is a weighted sum
+ * of completion times with the weights 1 / run time. The bound relaxes the data centre to one resource that is divided
+ * freely among the submitted jobs, without gangs, workers, guarantees or the loss of a stop. There, the sum of weighted
+ * mean busy times is least when the capacity always goes to the job with the greatest ratio of weight to work (a
+ * transportation problem, which greedy allocation solves). In every real schedule, a job that runs for `workMs` ends at
+ * least `workMs / 2` after the mean of its busy time. No job has a slowdown below 1 either.
+ */
+public fun meanSlowdownBound(
+    jobs: List<StreamJob>,
+    acceleratorsPerDataCentre: Int,
+): Double {
+    if (jobs.isEmpty()) return 1.0
+    val sum =
+        jobs.groupBy(StreamJob::dataCentre).values.sumOf { list ->
+            maxOf(boundOfSum(list, acceleratorsPerDataCentre), list.size.toDouble())
+        }
+    return sum / jobs.size
+}
+
+/** Share of the fluid resource that a job still needs, with the integral of the time at which it got it. */
+private class FluidJob(
+    val job: StreamJob,
+    capacity: Int,
+) {
+    val totalMs = job.gang.accelerators.toDouble() * job.workMs / capacity
+    val ratio = 1.0 / (job.workMs * totalMs)
+    var leftMs = totalMs
+    var moment = 0.0
+
+    /** Smallest possible slowdown of this job, given the mean of its busy time. */
+    val slowdown: Double get() = (moment / totalMs + job.workMs / 2.0 - job.submittedMs) / job.workMs
+
+    fun run(
+        fromMs: Double,
+        durationMs: Double,
+    ) {
+        moment += durationMs * (fromMs + durationMs / 2)
+        leftMs -= durationMs
+    }
+}
+
+private fun boundOfSum(
+    jobs: List<StreamJob>,
+    capacity: Int,
+): Double {
+    val all = jobs.sortedBy { it.submittedMs }.map { FluidJob(it, capacity) }
+    val ready = PriorityQueue<FluidJob>(compareByDescending { it.ratio })
+    var nowMs = 0.0
+    var next = 0
+    while (next < all.size || ready.isNotEmpty()) {
+        if (ready.isEmpty()) nowMs = maxOf(nowMs, all[next].job.submittedMs.toDouble())
+        while (next < all.size && all[next].job.submittedMs <= nowMs) ready += all[next++]
+        val current = ready.peek()
+        val untilMs = if (next < all.size) all[next].job.submittedMs.toDouble() else Double.MAX_VALUE
+        val isLast = current.leftMs <= untilMs - nowMs
+        val durationMs = if (isLast) current.leftMs else untilMs - nowMs
+        current.run(nowMs, durationMs)
+        nowMs = if (isLast) nowMs + durationMs else untilMs
+        if (isLast) ready.poll()
+    }
+    return all.sumOf { it.slowdown }
+}
