--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Resolver.kt
@@ -0,0 +1,192 @@
+package org.orioleferry.daemon.requests
+
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.orioleferry.core.Clock
+import org.orioleferry.core.event.EventSink
+import org.orioleferry.core.event.EventType
+import org.orioleferry.platform.ReadResult
+import org.orioleferry.platform.SealResult
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.math.min
+
+/** What is known of a request after an attempt to resolve it. */
+internal sealed interface Resolution {
+    /** The attempt is over: the row has a final state or belongs to another attempt. */
+    data class Final(
+        val stored: StoredRecord,
+    ) : Resolution
+
+    /** The row is absent. */
+    data object Absent : Resolution
+
+    /** Nothing can be concluded yet. */
+    data object Open : Resolution
+}
+
+/**
+ * Decides requests whose dispatch ended without an answer, by sealing them at the worker named in the row.
+ *
+ * The identifier that is sealed is always the one in the row, and the row is changed on condition that it still has the
+ * version read. A dispatcher that is slow rather than dead is thereby harmless: its worker refuses the sealed
+ * identifier, and every new attempt has a new one.
+ */
+internal class Resolver(
+    private val journal: IntentJournal,
+    private val pool: UpstreamPool,
+    private val clock: Clock,
+    private val settings: RequestSettings,
+    private val events: EventSink,
+    private val peers: RequestPeers,
+) {
+    /** An attempt to resolve. [isUnsent] when this instance never sent it and never will. */
+    private class OpenAttempt(
+        val key: String,
+        val requestId: String,
+        val isUnsent: Boolean,
+        val sinceMs: Long,
+    ) {
+        var dueMs = sinceMs
+        var pauseMs = FIRST_PAUSE_MS
+        var absentCount = 0
+    }
+
+    private val open = LinkedHashMap<String, OpenAttempt>()
+    private val dispatching = ConcurrentHashMap.newKeySet<String>()
+
+    /** Attempts that wait for resolution. */
+    val openCount: Int get() = synchronized(open) { open.size }
+
+    /** Notes that this instance is about to write and send [requestId]. */
+    fun beginDispatch(requestId: String) {
+        dispatching += requestId
+    }
+
+    /** Notes that the call that sent [requestId] has ended. */
+    fun endDispatch(requestId: String) {
+        dispatching -= requestId
+    }
+
+    /** Whether nobody works on the row: its instance is dead, or it is this one and the call has ended. */
+    fun isOrphan(record: RequestRecord): Boolean =
+        if (record.instance == settings.instance) {
+            record.requestId !in dispatching
+        } else {
+            record.instance !in peers.liveInstances()
+        }
+
+    /**
+     * Takes over the attempt [requestId] of the row of [key] for background resolution. One that finds no room is found
+     * by the scan later.
+     */
+    fun offer(
+        key: String,
+        requestId: String,
+        isUnsent: Boolean = false,
+    ) {
+        synchronized(open) {
+            if (open.size >= MAX_OPEN) return
+            open.putIfAbsent(requestId, OpenAttempt(key, requestId, isUnsent, clock.monotonicMs()))
+        }
+    }
+
+    /** Resolves offered attempts until it is cancelled. */
+    suspend fun run() {
+        while (true) {
+            delay(TICK_MS)
+            val now = clock.monotonicMs()
+            val due = synchronized(open) { open.values.filter { it.dueMs <= now }.take(PARALLEL) }
+            coroutineScope { due.forEach { launch { attend(it) } } }
+        }
+    }
+
+    /** Resolves the attempt again and again until it is final or [endMs] has come. */
+    suspend fun resolveUntil(
+        key: String,
+        requestId: String,
+        endMs: Long,
+    ): Resolution {
+        var pauseMs = FIRST_PAUSE_MS
+        while (clock.monotonicMs() < endMs) {
+            val resolution = withTimeoutOrNull(endMs - clock.monotonicMs()) { resolve(key, requestId) }
+            if (resolution is Resolution.Final) return resolution
+            delay(min(pauseMs, maxOf(0, endMs - clock.monotonicMs())))
+            pauseMs = min(MAX_PAUSE_MS, pauseMs * 2)
+        }
+        return Resolution.Open
+    }
+
+    /**
+     * Seals the attempt [requestId] once, if the row of [key] is still an intent for it, and records what the worker
+     * says. A row of another attempt is left alone, since that one may be in progress.
+     */
+    suspend fun resolve(
+        key: String,
+        requestId: String,
+        isUnsent: Boolean = false,
+    ): Resolution {
+        val read = journal.read(key) as? ReadResult.Found ?: return Resolution.Open
+        val stored = read.value ?: return Resolution.Absent
+        val record = stored.record
+        if (record.state != RecordState.INTENT || record.requestId != requestId) return Resolution.Final(stored)
+        val next = (if (isUnsent) record.refused("it was not sent") else sealed(record)) ?: return Resolution.Open
+        return when (val write = journal.write(next, key, stored.version, settings.storeDeadlineMs)) {
+            is WriteResult.Written -> Resolution.Final(StoredRecord(next, write.version)).also { report(key, next) }
+            is WriteResult.Conflict, WriteResult.Unavailable, WriteResult.Unknown -> Resolution.Open
+        }
+    }
+
+    private suspend fun sealed(record: RequestRecord): RequestRecord? {
+        val client = pool.clientOf(record.worker, record.workerUrl)
+        val seal =
+            withTimeoutOrNull(SEAL_DEADLINE_MS) { client.seal(record.requestId) }
+                ?: SealResult.Unavailable("no answer from the worker")
+        return when (seal) {
+            is SealResult.Done -> record.done(seal.result)
+            SealResult.Failed -> record.failed("the request failed on the worker")
+            SealResult.NeverRun -> record.refused("the worker never ran the request")
+            SealResult.Running, is SealResult.Unavailable -> null
+        }
+    }
+
+    private suspend fun attend(attempt: OpenAttempt) {
+        val resolution = resolve(attempt.key, attempt.requestId, attempt.isUnsent)
+        if (resolution is Resolution.Absent) attempt.absentCount++
+        synchronized(open) {
+            if (resolution is Resolution.Final || attempt.absentCount > MAX_ABSENT) {
+                open.remove(attempt.requestId)
+            } else {
+                attempt.dueMs = clock.monotonicMs() + attempt.pauseMs
+                attempt.pauseMs = min(MAX_PAUSE_MS, attempt.pauseMs * 2)
+            }
+        }
+    }
+
+    private fun report(
+        key: String,
+        record: RequestRecord,
+    ) {
+        events(
+            EventType.REQUEST_RESOLVED,
+            mapOf("request" to record.requestId, "key" to key, "state" to record.state.name.lowercase()),
+        )
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+        const val FIRST_PAUSE_MS = 50L
+        const val MAX_PAUSE_MS = 5_000L
+        const val SEAL_DEADLINE_MS = 800L
+
+        /** Rows resolved at once, so that an outage of a worker does not turn into a burst at the store. */
+        const val PARALLEL = 8
+
+        /** Bounds the memory that a long outage can take; further rows are found by the scan. */
+        const val MAX_OPEN = 10_000
+
+        /** An intent whose answer was lost may still arrive; an absent row is looked at this often. */
+        const val MAX_ABSENT = 8
+    }
+}
