Blame an upstream only when it answered nobody

A caller whose deadline is shorter than its work, or a request that fails on every worker, made healthy workers rest. A failure now counts only when the upstream answered no other call since the failed one began, and a request that failed on a worker counts as an answer.

--- a/coordination/src/main/kotlin/org/orioleferry/coordination/limits/FailureBackoff.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/limits/FailureBackoff.kt
@@ -15,6 +15,7 @@
     private var failures = 0
     private var restUntilMs = 0L
     private var isTrialRunning = false
+    private var lastSuccessMs = Long.MIN_VALUE
 
     /** Whether work may be sent to the upstream now. */
     @Synchronized
@@ -31,6 +32,7 @@
     public fun onSuccess() {
         failures = 0
         isTrialRunning = false
+        lastSuccessMs = clock.monotonicMs()
     }
 
     /** Notes that a trial ended without showing anything. */
@@ -39,15 +41,23 @@
         isTrialRunning = false
     }
 
-    /** Notes a failure. Failures that arrive during a rest belong to the same incident and do not lengthen it. */
+    /**
+     * Notes that a call that began at [startedMs] failed, and returns whether the upstream is to blame.
+     *
+     * An upstream that answered another call in the meantime is not: a caller whose deadlines are too short for its
+     * work must not make a healthy worker rest. Failures during a rest belong to the same incident and do not
+     * lengthen it.
+     */
     @Synchronized
-    public fun onFailure() {
+    public fun onFailure(startedMs: Long): Boolean {
         val now = clock.monotonicMs()
         isTrialRunning = false
-        if (failures > 0 && now < restUntilMs) return
+        if (lastSuccessMs >= startedMs) return false
+        if (failures > 0 && now < restUntilMs) return true
         val restMs = min(MAX_REST_MS, FIRST_REST_MS shl min(failures, MAX_DOUBLINGS))
         restUntilMs = now + restMs / 2 + random.nextLong(restMs / 2 + 1)
         failures++
+        return true
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/UpstreamPool.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/UpstreamPool.kt
@@ -36,6 +36,7 @@
 /** The right to run one request on one upstream. It is given back exactly once, through [UpstreamPool]. */
 internal class UpstreamSlot(
     val entry: UpstreamEntry,
+    val acquiredMs: Long,
 ) {
     var isReleased: Boolean = false
 
@@ -72,7 +73,7 @@
         synchronized(this) {
             val candidates = refreshed()
             val chosen = sample(candidates, excluded) ?: firstWithRoom(candidates, excluded)
-            if (chosen != null && chosen.tryAcquire()) UpstreamSlot(chosen) else null
+            if (chosen != null && chosen.tryAcquire()) UpstreamSlot(chosen, clock.monotonicMs()) else null
         }
 
     /** Client of a worker by the address in a row, for workers that are live and for those that are not. */
@@ -96,7 +97,8 @@
         result: DispatchResult,
     ) {
         release(slot) {
-            evidenceOf(result).forEach { directory.report(slot.worker, it) }
+            val isToBlame = isFailure(result) && slot.entry.backoff.onFailure(slot.acquiredMs)
+            evidenceOf(result, isToBlame).forEach { directory.report(slot.worker, it) }
             noteResult(slot.entry, result)
         }
     }
@@ -123,28 +125,33 @@
             }
 
             is DispatchResult.Failed -> {
-                entry.backoff.onFailure()
+                entry.backoff.onSuccess()
                 LimitSignal.NONE
             }
 
-            is DispatchResult.Unknown -> {
-                entry.backoff.onFailure()
-                LimitSignal.OVERLOAD
-            }
+            is DispatchResult.Unknown -> LimitSignal.OVERLOAD
 
             is DispatchResult.NotRun -> {
-                if (result.reason == NotRunReason.UNREACHABLE) entry.backoff.onFailure() else entry.backoff.onNothing()
+                if (result.reason != NotRunReason.UNREACHABLE) entry.backoff.onSuccess()
                 if (result.reason == NotRunReason.BUSY) LimitSignal.OVERLOAD else LimitSignal.NONE
             }
         }
 
-    private fun evidenceOf(result: DispatchResult): List<UpstreamEvidence> =
+    /** A request that failed on a worker is an answer; the directory judges by the share of such failures. */
+    private fun isFailure(result: DispatchResult): Boolean =
+        result is DispatchResult.Unknown ||
+            (result is DispatchResult.NotRun && result.reason == NotRunReason.UNREACHABLE)
+
+    private fun evidenceOf(
+        result: DispatchResult,
+        isToBlame: Boolean,
+    ): List<UpstreamEvidence> =
         when (result) {
             is DispatchResult.Answered -> listOf(UpstreamEvidence.ANSWERED, UpstreamEvidence.WORK_SUCCEEDED)
 
             is DispatchResult.Failed -> listOf(UpstreamEvidence.ANSWERED, UpstreamEvidence.WORK_FAILED)
 
-            is DispatchResult.Unknown -> listOf(UpstreamEvidence.UNREACHABLE)
+            is DispatchResult.Unknown -> if (isToBlame) listOf(UpstreamEvidence.UNREACHABLE) else emptyList()
 
             is DispatchResult.NotRun ->
                 when (result.reason) {
