--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/Daemon.kt
@@ -0,0 +1,105 @@
+package org.orioleferry.daemon
+
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import org.orioleferry.coordination.peer.PeerAddress
+import org.orioleferry.core.Clock
+import org.orioleferry.core.event.EventType
+import org.orioleferry.core.settings.DaemonSettings
+import org.orioleferry.daemon.event.eventRoutes
+import org.orioleferry.daemon.http.httpApi
+import org.orioleferry.daemon.jobs.jobRoutes
+import org.orioleferry.daemon.notes.noteRoutes
+import org.orioleferry.daemon.requests.requestRoutes
+
+/** One entry instance: the HTTP API for callers and operators, and the controllers behind it. */
+internal class Daemon(
+    private val settings: DaemonSettings,
+    clock: Clock,
+) {
+    private val parts = DaemonParts(settings, clock)
+    private val stop = CompletableDeferred<Unit>()
+
+    /** Starts a graceful shutdown; [run] returns when it is complete. */
+    fun requestStop() {
+        stop.complete(Unit)
+    }
+
+    /** Serves until [requestStop]. Prints one line with the ports through [print] when they are bound. */
+    suspend fun run(print: (String) -> Unit) {
+        coroutineScope {
+            parts.events.record(EventType.PROCESS_STARTED, mapOf("instance" to settings.instance.id.value))
+            val background = CoroutineScope(coroutineContext)
+            val peer = parts.network.start(background, PeerAddress(settings.listen.host, settings.listen.peerPort))
+            parts.startControllers(background)
+            val server = startServer()
+            val httpPort =
+                server.engine
+                    .resolvedConnectors()
+                    .first()
+                    .port
+            print("listening on $httpPort ${peer.port}")
+            launch { announceReadiness() }
+            stop.await()
+            drain(server)
+            coroutineContext.cancelChildren()
+        }
+        parts.close()
+    }
+
+    private suspend fun startServer(): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> {
+        val listen = settings.listen
+        val server =
+            embeddedServer(CIO, configure = {
+                connector {
+                    host = listen.host
+                    port = listen.httpPort
+                }
+                connectionIdleTimeoutSeconds = IDLE_CONNECTION_SECONDS
+            }) {
+                httpApi(settings.requests.maxBodyBytes.toLong()) {
+                    probeRoutes(parts.metrics, parts::isReady)
+                    requestRoutes(parts.requests)
+                    jobRoutes(parts.jobs)
+                    noteRoutes(parts.notes)
+                    eventRoutes(parts.events)
+                    instanceRoutes(
+                        settings.instance,
+                        parts.membership,
+                        parts.ownership,
+                        parts.notes,
+                    ) { parts.isDraining }
+                }
+            }
+        return server.startSuspend(wait = false)
+    }
+
+    private suspend fun announceReadiness() {
+        parts.notes.isReady.collect { isReady ->
+            if (isReady) parts.events.record(EventType.PROCESS_READY, mapOf("instance" to settings.instance.id.value))
+        }
+    }
+
+    /** Readiness fails first, so that the balancer stops sending; requests in progress end before the server does. */
+    private suspend fun drain(server: EmbeddedServer<*, *>) {
+        parts.isDraining = true
+        parts.membership.sendHeartbeats()
+        parts.requests.drain()
+        parts.ownership.release()
+        server.stopSuspend(SERVER_GRACE_MS, SERVER_LIMIT_MS)
+    }
+
+    private companion object {
+        const val IDLE_CONNECTION_SECONDS = 120
+        const val SERVER_GRACE_MS = 200L
+        const val SERVER_LIMIT_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
@@ -0,0 +1,211 @@
+package org.orioleferry.daemon
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.orioleferry.coordination.membership.InstanceListWatcher
+import org.orioleferry.coordination.membership.ListSettings
+import org.orioleferry.coordination.membership.Membership
+import org.orioleferry.coordination.membership.MembershipSettings
+import org.orioleferry.coordination.membership.rendezvousOrder
+import org.orioleferry.coordination.notes.NoteDistribution
+import org.orioleferry.coordination.notes.NoteInstance
+import org.orioleferry.coordination.notes.NoteSettings
+import org.orioleferry.coordination.ownership.OwnershipCandidate
+import org.orioleferry.coordination.ownership.OwnershipManager
+import org.orioleferry.coordination.ownership.OwnershipSettings
+import org.orioleferry.coordination.peer.Heartbeat
+import org.orioleferry.coordination.peer.JobHint
+import org.orioleferry.coordination.peer.PeerSettings
+import org.orioleferry.coordination.peer.SocketPeerNetwork
+import org.orioleferry.coordination.store.GuardedTableService
+import org.orioleferry.core.Clock
+import org.orioleferry.core.event.EventSink
+import org.orioleferry.core.model.JobId
+import org.orioleferry.core.settings.DaemonSettings
+import org.orioleferry.daemon.event.EventLog
+import org.orioleferry.daemon.jobs.JobParts
+import org.orioleferry.daemon.jobs.JobService
+import org.orioleferry.daemon.jobs.JobSettings
+import org.orioleferry.daemon.requests.RequestPeers
+import org.orioleferry.daemon.requests.RequestService
+import org.orioleferry.daemon.requests.RequestSettings
+import org.orioleferry.platform.WorkerClient
+import org.orioleferry.platform.WorkerClientProvider
+import org.orioleferry.platform.http.HttpInstanceList
+import org.orioleferry.platform.http.HttpLink
+import org.orioleferry.platform.http.HttpTableService
+import org.orioleferry.platform.http.HttpWorkerClient
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+
+/** Builds the parts of a daemon from its settings and connects them. */
+internal class DaemonParts(
+    private val settings: DaemonSettings,
+    private val clock: Clock,
+) : AutoCloseable {
+    private val random = Random(System.nanoTime())
+    private val self = settings.instance.id
+    private val incarnation = clock.wallMs()
+    private val link = HttpLink()
+    private val clients = ConcurrentHashMap<String, WorkerClient>()
+    private val workerClients: WorkerClientProvider =
+        { url -> clients.computeIfAbsent(url) { HttpWorkerClient(it, settings.platform.deadlineMs, link) } }
+
+    val metrics = Metrics()
+    val events = EventLog(self.value, clock, settings.events.bufferSize, metrics::count)
+    private val sink: EventSink = events::record
+
+    @Volatile
+    var isDraining: Boolean = false
+
+    private val store =
+        GuardedTableService(
+            HttpTableService(settings.platform.baseUrl, settings.platform.deadlineMs, link),
+            clock,
+            random,
+            events = sink,
+        )
+    val network =
+        SocketPeerNetwork(
+            self,
+            incarnation,
+            random,
+            PeerSettings(
+                progressDeadlineMs = settings.peers.progressMs,
+                maxFrameBytes = settings.peers.maxFrameBytes,
+            ),
+        )
+    private val list =
+        InstanceListWatcher(
+            HttpInstanceList(settings.platform.baseUrl, settings.platform.deadlineMs, link),
+            random,
+            ListSettings(minPeriodMs = settings.membership.listPullMs),
+        )
+    val membership: Membership =
+        Membership(
+            self,
+            list,
+            network,
+            clock,
+            random,
+            MembershipSettings(
+                heartbeatMs = settings.membership.heartbeatMs,
+                suspectMs = settings.membership.suspectMs,
+                deadMs = settings.membership.deadMs,
+                slowObserverMs = settings.membership.selfLateMs,
+            ),
+            sink,
+            ::heartbeat,
+        )
+    private val upstreams = ListedUpstreams(list)
+    val notes: NoteDistribution =
+        NoteDistribution(
+            NoteInstance(self, settings.instance.dataCentre),
+            store,
+            network,
+            membership,
+            clock,
+            random,
+            NoteSettings(pullMs = settings.notes.pullMs),
+            events = sink,
+        )
+    val ownership: OwnershipManager =
+        OwnershipManager(
+            OwnershipCandidate(self, incarnation),
+            settings.domains,
+            store,
+            clock,
+            random,
+            membership::candidates,
+            OwnershipSettings(
+                ttlMs = settings.ownership.ttlMs,
+                renewMs = settings.ownership.renewMs,
+                standbyReadMs = settings.ownership.otherStandbyReadMs,
+                rankDelayMs = settings.ownership.rankDelayMs,
+            ),
+            sink,
+        )
+    val requests: RequestService =
+        RequestService(
+            store,
+            upstreams,
+            workerClients,
+            { notes.configuration.value },
+            clock,
+            sink,
+            requestSettings(),
+            RequestPeers(membership::candidates) { key, candidates -> rendezvousOrder(key, candidates).first() },
+        )
+    val jobs: JobService =
+        JobService(
+            JobParts(
+                tables = store,
+                upstreams = upstreams,
+                ownership = ownership,
+                workers = workerClients,
+                configuration = { notes.configuration.value },
+                clock = clock,
+                events = sink,
+                sendHint = ::sendHint,
+                settings =
+                    JobSettings(
+                        taskLeaseTtlMs = settings.jobs.taskLeaseTtlMs,
+                        reclaimGraceMs = settings.jobs.reclaimGraceMs,
+                        inboxPeriodMs = settings.jobs.scanMs,
+                    ),
+                newSuffix = { UUID.randomUUID().toString() },
+            ),
+        )
+
+    /** Whether the balancer may send callers here. */
+    fun isReady(): Boolean = notes.isReady.value && !isDraining
+
+    /** Starts everything that runs in the background. */
+    fun startControllers(scope: CoroutineScope) {
+        scope.launch { list.run() }
+        scope.launch { membership.run() }
+        scope.launch { notes.run() }
+        scope.launch { ownership.run() }
+        scope.launch { requests.run() }
+        scope.launch { jobs.run() }
+        scope.launch { receiveHints() }
+    }
+
+    override fun close() {
+        link.close()
+    }
+
+    private fun heartbeat(): Heartbeat =
+        Heartbeat(
+            dataCentre = settings.instance.dataCentre,
+            noteVersion = notes.heartbeatVersion,
+            owned = ownership.owned(),
+            isLeaving = isDraining,
+        )
+
+    private suspend fun receiveHints() {
+        network.messages.collect { received ->
+            (received.message as? JobHint)?.let { jobs.onHint(it.jobId) }
+        }
+    }
+
+    private suspend fun sendHint(job: JobId) {
+        val domain = job.dataCentre
+        if (domain in ownership.owned()) return jobs.onHint(job)
+        val owner = membership.members().firstOrNull { domain in it.heartbeat?.owned.orEmpty() } ?: return
+        network.send(owner.id, JobHint(domain, job))
+    }
+
+    private fun requestSettings() =
+        RequestSettings(
+            instance = self,
+            maxBodyBytes = settings.requests.maxBodyBytes,
+            maxQueued = settings.requests.maxQueued,
+            defaultDeadlineMs = settings.requests.defaultDeadlineMs,
+            storeDeadlineMs = settings.platform.deadlineMs,
+            finishWriteMs = settings.requests.recordMs,
+            drainRefuseAfterMs = settings.drain.refuseAfterMs,
+            drainLimitMs = settings.drain.limitMs,
+        )
+}
