Measure the HTTP client engines against the worker stand-in

The cost of a call decides whether the control work of an owner stays within 2.6% of a core. A small program compares the shipped client, the CIO engine on the default dispatcher and the client of the Java library.

--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/orioleferry/standins/measure/ClientEngines.kt
@@ -0,0 +1,114 @@
+package org.orioleferry.standins.measure
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.int
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.orioleferry.platform.WorkerRequest
+import java.lang.management.ManagementFactory
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Sends one request to a worker and returns whether its own whole answer arrived. */
+internal typealias SendRequest = suspend (WorkerRequest) -> Boolean
+
+/** Figures of one run. Latencies are in microseconds; [cpuMicros] is processor time of this process per request. */
+internal data class EngineFigures(
+    val engine: String,
+    val concurrency: Int,
+    val failures: Int,
+    val requestsPerSecond: Long,
+    val p50Micros: Long,
+    val p99Micros: Long,
+    val cpuMicros: Long,
+    val threads: Int,
+) {
+    override fun toString(): String =
+        "$engine concurrency=$concurrency failures=$failures requestsPerSecond=$requestsPerSecond " +
+            "p50us=$p50Micros p99us=$p99Micros cpuUs=$cpuMicros threads=$threads"
+}
+
+/** Compares HTTP client engines against one worker. Every request has no work, so that the client's cost shows. */
+private class ClientEngines : CliktCommand(name = "client-engines") {
+    private val worker by option(help = "base URL of the worker's API").required()
+    private val requests by option(help = "requests of one run").int().default(20_000)
+    private val rounds by option(help = "rounds; the engines take turns in each").int().default(3)
+
+    // More callers than this would be refused as busy by a worker with 64 slots.
+    private val concurrency by option(help = "callers at a time").int().default(16)
+
+    override fun run() {
+        runBlocking(Dispatchers.Default) {
+            engineVariants(worker).forEach { (name, variant) ->
+                variant.use { measure("$name warm-up", it.send) }
+            }
+            repeat(rounds) {
+                engineVariants(worker).forEach { (name, variant) ->
+                    variant.use { println(measure(name, it.send)) }
+                }
+            }
+        }
+    }
+
+    private suspend fun measure(
+        engine: String,
+        send: SendRequest,
+    ): EngineFigures {
+        val latencies = LongArray(requests)
+        val failures = AtomicInteger()
+        val next = AtomicInteger()
+        val cpuBefore = processCpuNanos()
+        val started = System.nanoTime()
+        coroutineScope {
+            repeat(concurrency) {
+                launch {
+                    while (true) {
+                        val number = next.getAndIncrement()
+                        if (number >= requests) break
+                        val sent = System.nanoTime()
+                        if (!send(requestOf(engine, number, started))) failures.incrementAndGet()
+                        latencies[number] = System.nanoTime() - sent
+                    }
+                }
+            }
+        }
+        val elapsed = System.nanoTime() - started
+        val cpu = processCpuNanos() - cpuBefore
+        latencies.sort()
+        return EngineFigures(
+            engine = engine,
+            concurrency = concurrency,
+            failures = failures.get(),
+            requestsPerSecond = requests * NANOS_PER_SECOND / elapsed,
+            p50Micros = latencies[requests / 2] / NANOS_PER_MICRO,
+            p99Micros = latencies[requests / 100 * 99] / NANOS_PER_MICRO,
+            cpuMicros = cpu / requests / NANOS_PER_MICRO,
+            threads = ManagementFactory.getThreadMXBean().threadCount,
+        )
+    }
+
+    private fun requestOf(
+        engine: String,
+        number: Int,
+        run: Long,
+    ): WorkerRequest = WorkerRequest("$engine-$run-$number", jobClass = "measure", payload = PAYLOAD)
+
+    private fun processCpuNanos(): Long =
+        (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
+
+    private companion object {
+        const val NANOS_PER_SECOND = 1_000_000_000L
+        const val NANOS_PER_MICRO = 1_000L
+
+        // About the size of a weighing slip.
+        val PAYLOAD = "x".repeat(200)
+    }
+}
+
+/** Starts the comparison. */
+public fun main(arguments: Array<String>): Unit = ClientEngines().main(arguments)
