--- a/core/src/main/kotlin/org/orioleferry/core/event/EventType.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/event/EventType.kt
@@ -30,6 +30,7 @@
     UPSTREAM_LEAVING(3004, EventLevel.INFO, "A worker is leaving and gets no new work", "None"),
     UPSTREAM_QUARANTINED(3005, EventLevel.WARN, "A worker fails what it starts", "Inspect the worker"),
     UPSTREAM_RESTORED(3006, EventLevel.INFO, "A worker gets work again", "None"),
+    UPSTREAM_DEAD(3007, EventLevel.WARN, "A worker does not answer probes", "Inspect the worker"),
     NOTE_COMMITTED(4001, EventLevel.INFO, "A release note was committed", "None"),
     NOTE_IN_FORCE(4002, EventLevel.INFO, "A release note is in force on this instance", "None"),
     NOTE_CONFLICT(4003, EventLevel.WARN, "A release note lost a race", "Review the winner and apply again"),
