Share capacity by class, workspace and caller

The queue was first come, first served, so one large caller or one flood could make everybody else wait. A pure scheduler in core now divides slot time among classes by weights and floors, then among workspaces by weight, then among callers by shuffle sharding over 64 sub-queues with virtual start times. Each workspace, sub-queue and caller may take only a part of the room that is left. Requests that cannot meet their deadline at the observed rate are refused early. Caps derived from the loads of all instances keep the floor of a class whose requests arrive elsewhere than a flood.

--- /dev/null
+++ b/core/src/test/kotlin/org/orioleferry/core/sharing/SharingSimulation.kt
@@ -0,0 +1,97 @@
+package org.orioleferry.core.sharing
+
+import org.orioleferry.core.model.JobClass
+import org.orioleferry.core.model.Workspace
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+
+/** A Poisson stream of requests with exponential service times. */
+internal data class Stream(
+    val jobClass: JobClass,
+    val workspace: Workspace,
+    val callers: List<String>,
+    val perSecond: Double,
+    val serviceMs: Double = 100.0,
+    val deadlineMs: Long = 20_000,
+)
+
+/** What a stream experienced. Waits are in milliseconds. */
+internal class StreamResult {
+    val waits = mutableListOf<Long>()
+    var offered = 0
+    var shed = 0
+
+    fun quantile(share: Double): Long = waits.sorted().let { it[((it.size - 1) * share).toInt()] }
+
+    val servedShare: Double get() = waits.size.toDouble() / offered
+}
+
+/** Runs a scheduler in virtual time in front of [slots] slots; [throughput] of a stream is its served share. */
+internal class SharingSimulation(
+    private val slots: Int,
+    seed: Long,
+    private val callerOf: (String) -> String = { it },
+) {
+    private class Arrival(
+        val stream: Stream,
+        val caller: String,
+        val arrivedMs: Long,
+        val serviceMs: Long,
+    )
+
+    private val random = Random(seed)
+    private val scheduler = FairScheduler<Arrival>(2_000, seed)
+    private val results = HashMap<Stream, StreamResult>()
+    private val events = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+    private var nowMs = 0L
+    private var busy = 0
+
+    val steps: Long get() = scheduler.steps
+
+    fun run(
+        streams: List<Stream>,
+        lengthMs: Long,
+    ): Map<Stream, StreamResult> {
+        streams.forEach { arrive(it, lengthMs) }
+        while (true) {
+            val (at, event) = events.poll() ?: return results
+            nowMs = at
+            event()
+            grant()
+        }
+    }
+
+    private fun arrive(
+        stream: Stream,
+        lengthMs: Long,
+    ) {
+        val at = nowMs + exponential(1_000.0 / stream.perSecond)
+        if (at > lengthMs) return
+        events += at to {
+            val result = results.getOrPut(stream) { StreamResult() }
+            val caller = callerOf(stream.callers.random(random))
+            val arrival = Arrival(stream, caller, nowMs, exponential(stream.serviceMs))
+            val deadline = nowMs + stream.deadlineMs
+            val offer = scheduler.offer(stream.jobClass, stream.workspace, caller, deadline, arrival, nowMs)
+            result.offered++
+            if (offer is Offer.Shed) result.shed++
+            arrive(stream, lengthMs)
+        }
+    }
+
+    private fun grant() {
+        while (busy < slots) {
+            val ticket = scheduler.next(SlotCapacity(slots, slots - busy), nowMs) ?: return
+            val arrival = ticket.item
+            results.getValue(arrival.stream).waits += nowMs - arrival.arrivedMs
+            busy++
+            events += nowMs + arrival.serviceMs to {
+                busy--
+                scheduler.finished(arrival.stream.jobClass.name, arrival.serviceMs)
+            }
+        }
+    }
+
+    private fun exponential(mean: Double): Long = maxOf(1L, (-ln(1.0 - random.nextDouble()) * mean).toLong())
+}
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestService.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestService.kt
@@ -14,7 +14,9 @@
 import org.orioleferry.core.event.EventSink
 import org.orioleferry.core.event.EventType
 import org.orioleferry.core.model.Configuration
+import org.orioleferry.core.model.JobClassName
 import org.orioleferry.core.model.WorkspaceName
+import org.orioleferry.core.sharing.ClassLoad
 import org.orioleferry.platform.ReadResult
 import org.orioleferry.platform.TableService
 import org.orioleferry.platform.WorkerClientProvider
@@ -42,7 +44,7 @@
     newRequestId: () -> String = { UUID.randomUUID().toString() },
     random: Random = Random.Default,
 ) {
-    private val sharer = Sharer(clock, settings.maxQueued)
+    private val sharer = Sharer(clock, settings.maxQueued, random.nextLong(), peers, configuration)
     private val pool = UpstreamPool(directory, clients, clock, random, settings.slotsPerWorker, sharer::pump)
     private val journal = IntentJournal(table, clock, settings)
     private val resolver = Resolver(journal, pool, clock, settings, events, peers)
@@ -83,6 +85,9 @@
                     ?: failed(Failure(FailureCode.NOT_FOUND, "no request with this key is recorded", isNotRun = false))
         }
 
+    /** Requests that wait and run in each class, for the exchange between instances. */
+    public fun classLoads(): Map<JobClassName, ClassLoad> = sharer.loads()
+
     /** Background work: group commit, resolution of unknown outcomes, and turns for waiting requests. */
     public suspend fun run(): Unit =
         coroutineScope {
@@ -113,7 +118,16 @@
     ): RequestResult =
         when (val turn = sharer.acquire(context)) {
             is Turn.Shed -> RequestResult.Refused(turn.failure)
-            is Turn.Granted -> next(context.copy(slot = turn.slot))
+
+            is Turn.Granted -> {
+                val startedMs = clock.monotonicMs()
+                try {
+                    next(context.copy(slot = turn.slot))
+                } finally {
+                    pool.releaseUnused(turn.slot)
+                    sharer.finished(context.jobClass.name, clock.monotonicMs() - startedMs)
+                }
+            }
         }
 
     private fun toOutcome(result: RequestResult): Outcome<RequestAnswer> =
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/UpstreamPool.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/UpstreamPool.kt
@@ -10,6 +10,7 @@
 import org.orioleferry.coordination.upstream.UpstreamState
 import org.orioleferry.core.Clock
 import org.orioleferry.core.model.WorkerId
+import org.orioleferry.core.sharing.SlotCapacity
 import org.orioleferry.platform.DispatchResult
 import org.orioleferry.platform.NotRunReason
 import org.orioleferry.platform.WorkerClient
@@ -56,13 +57,23 @@
 ) {
     private var entries: Map<WorkerId, UpstreamEntry> = emptyMap()
     private var live: List<UpstreamEntry> = emptyList()
+    private var totalLimit = 0
+    private var inUse = 0
+    private var lastReleased: UpstreamEntry? = null
     private var refreshedMs = clock.monotonicMs() - REFRESH_MS
 
     /** Whether any upstream is live. */
     val hasLive: Boolean get() = synchronized(this) { refreshed().isNotEmpty() }
 
-    /** Number of live upstreams. */
-    val liveCount: Int get() = synchronized(this) { refreshed().size }
+    /** Slots of all live upstreams for all instances. */
+    val slotsOfAll: Int get() = synchronized(this) { refreshed().size * slotsPerWorker }
+
+    /** Slots that this instance may use, by the limits that it has learned. */
+    fun capacity(): SlotCapacity =
+        synchronized(this) {
+            refreshed()
+            SlotCapacity(totalLimit, totalLimit - inUse)
+        }
 
     /** Whether a live upstream that is not in [excluded] exists, with room or without. */
     fun hasOther(excluded: Set<WorkerId>): Boolean =
@@ -72,8 +83,11 @@
     fun tryAcquire(excluded: Set<WorkerId> = emptySet()): UpstreamSlot? =
         synchronized(this) {
             val candidates = refreshed()
-            val chosen = sample(candidates, excluded) ?: firstWithRoom(candidates, excluded)
-            if (chosen != null && chosen.tryAcquire()) UpstreamSlot(chosen, clock.monotonicMs()) else null
+            val chosen =
+                sample(candidates, excluded) ?: justReleased(excluded) ?: firstWithRoom(candidates, excluded)
+            if (chosen == null || !chosen.tryAcquire()) return null
+            inUse++
+            UpstreamSlot(chosen, clock.monotonicMs())
         }
 
     /** Client of a worker by the address in a row, for workers that are live and for those that are not. */
@@ -83,33 +97,36 @@
     ): WorkerClient =
         synchronized(this) { entries[worker]?.takeIf { it.upstream.baseUrl == baseUrl }?.client } ?: clients(baseUrl)
 
+    /** Gives back a slot that was taken for a request that does not come, without granting it to another one. */
+    fun giveBack(slot: UpstreamSlot) {
+        if (slot.isReleased) return
+        slot.isReleased = true
+        slot.entry.backoff.onNothing()
+        slot.entry.limiter.release(LimitSignal.NONE)
+        synchronized(this) { inUse-- }
+    }
+
     /** Gives back a slot on which nothing was sent. */
     fun releaseUnused(slot: UpstreamSlot) {
-        release(slot) {
-            slot.entry.backoff.onNothing()
-            LimitSignal.NONE
-        }
+        if (slot.isReleased) return
+        giveBack(slot)
+        onRoom()
     }
 
     /** Gives back a slot with the result of the dispatch, which counts as direct evidence about the worker. */
     fun release(
         slot: UpstreamSlot,
         result: DispatchResult,
-    ) {
-        release(slot) {
-            val isToBlame = isFailure(result) && slot.entry.backoff.onFailure(slot.acquiredMs)
-            evidenceOf(result, isToBlame).forEach { directory.report(slot.worker, it) }
-            noteResult(slot.entry, result)
-        }
-    }
-
-    private inline fun release(
-        slot: UpstreamSlot,
-        signal: () -> LimitSignal,
     ) {
         if (slot.isReleased) return
         slot.isReleased = true
-        slot.entry.limiter.release(signal())
+        val isToBlame = isFailure(result) && slot.entry.backoff.onFailure(slot.acquiredMs)
+        evidenceOf(result, isToBlame).forEach { directory.report(slot.worker, it) }
+        slot.entry.limiter.release(noteResult(slot.entry, result))
+        synchronized(this) {
+            inUse--
+            lastReleased = slot.entry
+        }
         onRoom()
     }
 
@@ -171,6 +188,13 @@
             .minByOrNull { it.limiter.inFlight.toDouble() / it.limiter.limit }
     }
 
+    /** Under full load only the upstream that has just given back a slot has room. */
+    private fun justReleased(excluded: Set<WorkerId>): UpstreamEntry? {
+        val id = lastReleased?.upstream?.id ?: return null
+        val entry = entries[id] ?: return null
+        return entry.takeIf { it.upstream.state == UpstreamState.LIVE && id !in excluded && it.hasRoom }
+    }
+
     private fun firstWithRoom(
         candidates: List<UpstreamEntry>,
         excluded: Set<WorkerId>,
@@ -182,6 +206,7 @@
         refreshedMs = now
         entries = directory.snapshot().associate { it.id to entryOf(it) }
         live = entries.values.filter { it.upstream.state == UpstreamState.LIVE }
+        totalLimit = live.sumOf { it.limiter.limit }
         return live
     }
 
