Keep the tool from reporting a false "not run"

Cause: a call whose first attempt may have been received is sent again with its key; a refusal of the second daemon states "not run" for itself only, and the tool passed it on with exit code 1. `request status` shows what is known about a key.

--- a/cli/src/main/kotlin/org/orioleferry/cli/DaemonClient.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/DaemonClient.kt
@@ -55,9 +55,11 @@
         val daemon: String,
     ) : Reply
 
+    /** A typed failure. [earlier] are attempts at other daemons, about whose outcome the failure says nothing. */
     data class Refused(
         val error: ErrorDetail,
         val daemon: String,
+        val earlier: List<Attempt> = emptyList(),
     ) : Reply
 
     /** No daemon answered. When any attempt may have been received, the outcome of the call is unknown. */
@@ -95,8 +97,9 @@
                 }
 
                 is Result.Replied -> {
-                    if (!isDraining(result.reply)) return result.reply
-                    draining = result.reply
+                    val reply = (result.reply as? Reply.Refused)?.copy(earlier = attempts.toList()) ?: result.reply
+                    if (!isDraining(reply)) return reply
+                    draining = reply
                 }
             }
         }
--- a/cli/src/main/kotlin/org/orioleferry/cli/DaemonCommand.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/DaemonCommand.kt
@@ -79,7 +79,7 @@
     ): JsonElement =
         when (val reply = send(call)) {
             is Reply.Answered -> reply.body
-            is Reply.Refused -> reportRefusal(reply.error, askAgain)
+            is Reply.Refused -> reportRefusal(reply, call, askAgain)
             is Reply.Unanswered -> reportUnanswered(reply.attempts, call, askAgain)
             is Reply.Invalid -> reportInvalid(reply, call, askAgain)
         }
@@ -110,11 +110,15 @@
     }
 
     private fun reportRefusal(
-        error: ErrorDetail,
+        reply: Reply.Refused,
+        call: ApiCall,
         askAgain: String?,
     ): Nothing {
-        printError(error)
-        val code = error.toExitCode()
+        printError(reply.error)
+        // "Not run" holds for the call that was refused, not for an earlier one whose answer was lost.
+        val lost = reply.earlier.filter { call.hasEffect && it.mayHaveBeenReceived }
+        lost.forEach { echo("${it.daemon} may have received the call before: ${it.reason}", err = true) }
+        val code = if (lost.isEmpty()) reply.error.toExitCode(call.hasEffect) else ExitCode.OUTCOME_UNKNOWN
         if (code == ExitCode.OUTCOME_UNKNOWN) askAgain?.let { echo(it, err = true) }
         exit(code)
     }
@@ -155,9 +159,13 @@
     }
 }
 
-/** Exit code of a typed failure. A failure that does not state "not run" is never reported as a plain refusal. */
-internal fun ErrorDetail.toExitCode(): ExitCode =
+/**
+ * Exit code of a typed failure. A call with an effect is reported as a plain refusal only when the failure states
+ * "not run"; a read has no outcome that could be unknown.
+ */
+internal fun ErrorDetail.toExitCode(hasEffect: Boolean): ExitCode =
     when {
+        !hasEffect -> ExitCode.REFUSED
         code == FailureCode.OUTCOME_UNKNOWN.name -> ExitCode.OUTCOME_UNKNOWN
         code == FailureCode.UPSTREAM_FAILED.name && !notRun -> ExitCode.FAILED
         code == FailureCode.NOT_FOUND.name || notRun -> ExitCode.REFUSED
--- a/cli/src/main/kotlin/org/orioleferry/cli/Timeline.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/Timeline.kt
@@ -12,7 +12,7 @@
     private val request by option("--request")
     private val worker by option("--worker")
     private val workspace by option("--workspace")
-    private val since by option("--since", help = "Earliest time in milliseconds since the Unix epoch").long()
+    private val since by option("--since", help = "Logical time; only later events are shown").long()
 
     override suspend fun execute(client: DaemonClient) {
         val call =
--- a/cli/src/main/kotlin/org/orioleferry/cli/ViewCommands.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/ViewCommands.kt
@@ -1,22 +1,25 @@
 package org.orioleferry.cli
 
 import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.restrictTo
+import io.ktor.http.encodeURLPathPart
 import org.orioleferry.core.api.InstanceList
 import org.orioleferry.core.api.LateList
 import org.orioleferry.core.api.PolicyList
 import org.orioleferry.core.api.RequestAnswer
 import org.orioleferry.core.api.RequestBody
+import org.orioleferry.core.api.RequestStatus
 import org.orioleferry.core.api.WorkerList
 import org.orioleferry.core.api.WorkspaceList
 import org.orioleferry.core.model.JobClassName
 import org.orioleferry.core.model.WorkspaceName
 
-internal fun requestCommands() = CommandGroup("request", "Requests").subcommands(RequestSend())
+internal fun requestCommands() = CommandGroup("request", "Requests").subcommands(RequestSend(), RequestStatusCommand())
 
 internal class RequestSend : DaemonCommand("send", "Send a request; with --key a repeat is safe") {
     private val workspace by option("--workspace").required()
@@ -43,6 +46,18 @@
     }
 }
 
+internal class RequestStatusCommand : DaemonCommand("status", "Show what is known about a request with a key") {
+    private val workspace by argument("WORKSPACE")
+    private val key by argument("KEY")
+
+    override suspend fun execute(client: DaemonClient) =
+        client.show(
+            "/v1/requests/${workspace.encodeURLPathPart()}/${key.encodeURLPathPart()}",
+            RequestStatus.serializer(),
+            listOf("request", "state", "worker", "result", "reason"),
+        ) { listOf(listOf(it.requestId, it.state, "${it.worker}", it.result ?: "-", it.reason ?: "-")) }
+}
+
 internal class Workers : DaemonCommand("workers", "List the workers and their load") {
     override suspend fun execute(client: DaemonClient) =
         client.show(
--- a/cli/src/test/kotlin/org/orioleferry/cli/FailureHandlingTest.kt
+++ b/cli/src/test/kotlin/org/orioleferry/cli/FailureHandlingTest.kt
@@ -54,6 +54,18 @@
         }
     }
 
+    // Guards against a false "not run": the second daemon's refusal says nothing about the call that the first one got.
+    @Test
+    fun `a refusal after an attempt that may have been received should leave the outcome unknown`() {
+        ClosingDaemon().use { first ->
+            FakeDaemon { 429 to error("QUEUE_FULL", true) }.use { second ->
+                val run = tool(*send, "--key", "k-1", "--daemon", "${first.address},${second.address}")
+                expectThat(run.exitCode).isEqualTo(ExitCode.OUTCOME_UNKNOWN.code)
+                expectThat(run.stderr).contains("QUEUE_FULL").contains(first.address).contains("--key k-1 again")
+            }
+        }
+    }
+
     // Guards against a job submitted twice into two data centres, since each daemon may choose another one.
     @Test
     fun `a job should be sent again only when its data centre is fixed`() {
--- a/core/src/main/kotlin/org/orioleferry/core/event/EventTimeline.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/event/EventTimeline.kt
@@ -15,20 +15,20 @@
 /**
  * Selects events. An event matches when it agrees with every criterion that is not null.
  *
- * @property sinceWallMs earliest wall clock time in milliseconds.
+ * @property afterLogicalTime logical time; only later events match.
  */
 public data class EventFilter(
     val job: String? = null,
     val request: String? = null,
     val worker: String? = null,
     val workspace: String? = null,
-    val sinceWallMs: Long? = null,
+    val afterLogicalTime: Long? = null,
 ) {
     /** Whether [event] is selected. */
     public fun matches(event: Event): Boolean {
         val wanted = mapOf(JOB to job, REQUEST to request, WORKER to worker, WORKSPACE to workspace)
         val hasAttributes = wanted.all { (name, value) -> value == null || event.attributes[name] == value }
-        return hasAttributes && event.wallMs >= (sinceWallMs ?: Long.MIN_VALUE)
+        return hasAttributes && event.logicalTime > (afterLogicalTime ?: Long.MIN_VALUE)
     }
 
     public companion object {
--- a/core/src/test/kotlin/org/orioleferry/core/event/EventTimelineTest.kt
+++ b/core/src/test/kotlin/org/orioleferry/core/event/EventTimelineTest.kt
@@ -47,7 +47,7 @@
         fun times(filter: EventFilter) = expectThat(events.filter(filter::matches)).map { it.logicalTime }
         times(EventFilter(job = "a.1")).containsExactly(1, 2)
         times(EventFilter(job = "a.1", workspace = "sheds")).containsExactly(1)
-        times(EventFilter(sinceWallMs = 300)).containsExactly(3, 4)
+        times(EventFilter(afterLogicalTime = 2)).containsExactly(3, 4)
         times(EventFilter()).containsExactly(1, 2, 3, 4)
     }
 }
