Add fault runs over real processes and the directory of upstreams to the daemon

The daemon knew workers from the platform's list alone, so evidence and peers' reports had no effect; it now uses the observed directory and sends its reports and class loads in heartbeats. bin/bench faults causes kills, pauses, graceful restarts, store and worker faults under load and compares all answers with the workers' record.

The checkers have not yet been shown to fail with a mechanism off.

--- a/bench/src/main/kotlin/org/orioleferry/bench/process/Deployment.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/process/Deployment.kt
@@ -53,6 +53,11 @@
     val executions: List<Execution>,
 )
 
+@Serializable
+internal data class ListedInstances(
+    val instances: List<ListedInstance>,
+)
+
 @Serializable
 internal data class FaultSwitch(
     val fault: String,
@@ -71,7 +76,7 @@
             install(HttpTimeout) { requestTimeoutMillis = CALL_LIMIT_MS }
         }
     private lateinit var platform: LocalProcess
-    private lateinit var workers: LocalProcess
+    private lateinit var workerProcess: LocalProcess
     private val running = linkedMapOf<String, DaemonProcess>()
     private val all = mutableListOf<LocalProcess>()
 
@@ -87,8 +92,8 @@
     suspend fun start() {
         platform = launch("platform", PLATFORM_MAIN, listOf("--port", "0", "--seed", "${size.seed}"))
         platformUrl = "http://127.0.0.1:${platform.awaitPorts().first()}"
-        workers = launch("workers", WORKERS_MAIN, workerArguments())
-        workersUrl = "http://127.0.0.1:${workers.awaitPorts().first()}"
+        workerProcess = launch("workers", WORKERS_MAIN, workerArguments())
+        workersUrl = "http://127.0.0.1:${workerProcess.awaitPorts().first()}"
         val started = (1..size.daemons).map { launchDaemon("entry-$it") }
         started.forEach { admit(it) }
         daemons.forEach { awaitReady(it) }
@@ -131,6 +136,13 @@
         check(answer.status.isSuccess()) { "fault ${fault.fault} was refused: ${answer.bodyAsText()}" }
     }
 
+    /** Names of all workers. */
+    suspend fun workers(): List<String> {
+        val text = client.get("$platformUrl/instances").bodyAsText()
+        val listed = benchJson.decodeFromString<ListedInstances>(text).instances
+        return listed.filter { it.kind == ListedInstance.KIND_WORKER }.map { it.id }
+    }
+
     /** Everything that the workers have run. */
     suspend fun executions(): List<Execution> {
         val text = client.get("$workersUrl/executions").bodyAsText()
--- a/bench/src/main/kotlin/org/orioleferry/bench/process/LocalProcess.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/process/LocalProcess.kt
@@ -20,6 +20,9 @@
     private val process: Process,
     private val firstLine: CompletableFuture<String>,
 ) {
+    /** Identifier of the process, which differs between two processes of the same name. */
+    val id: Long get() = process.pid()
+
     val isAlive: Boolean get() = process.isAlive
 
     /** Numbers in the line `listening on ...` that the program prints when it is ready. */
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/Daemon.kt
@@ -91,7 +91,7 @@
     /** Readiness fails first, so that the balancer stops sending; requests in progress end before the server does. */
     private suspend fun drain(server: EmbeddedServer<*, *>) {
         parts.isDraining = true
-        parts.membership.sendHeartbeats()
+        parts.membership.leave()
         parts.requests.drain()
         parts.ownership.release()
         server.stopSuspend(SERVER_GRACE_MS, SERVER_LIMIT_MS)
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
@@ -18,6 +18,9 @@
 import org.orioleferry.coordination.peer.PeerSettings
 import org.orioleferry.coordination.peer.SocketPeerNetwork
 import org.orioleferry.coordination.store.GuardedTableService
+import org.orioleferry.coordination.upstream.ObservedUpstreams
+import org.orioleferry.coordination.upstream.Upstream
+import org.orioleferry.coordination.upstream.UpstreamEvidence
 import org.orioleferry.core.Clock
 import org.orioleferry.core.event.EventSink
 import org.orioleferry.core.model.JobId
@@ -29,6 +32,8 @@
 import org.orioleferry.daemon.requests.RequestPeers
 import org.orioleferry.daemon.requests.RequestService
 import org.orioleferry.daemon.requests.RequestSettings
+import org.orioleferry.platform.ListedInstance
+import org.orioleferry.platform.ReadResult
 import org.orioleferry.platform.WorkerClient
 import org.orioleferry.platform.WorkerClientProvider
 import org.orioleferry.platform.http.HttpInstanceList
@@ -98,7 +103,8 @@
             sink,
             ::heartbeat,
         )
-    private val upstreams = ListedUpstreams(list)
+    private val upstreams =
+        ObservedUpstreams(self, list, network, membership::candidates, clock, events = sink, probe = ::probe)
     val notes: NoteDistribution =
         NoteDistribution(
             NoteInstance(self, settings.instance.dataCentre),
@@ -135,7 +141,11 @@
             clock,
             sink,
             requestSettings(),
-            RequestPeers(membership::candidates) { key, candidates -> rendezvousOrder(key, candidates).first() },
+            RequestPeers(
+                liveInstances = membership::candidates,
+                assigned = { key, candidates -> rendezvousOrder(key, candidates).first() },
+                loads = { membership.members().map { it.heartbeat?.classLoads().orEmpty() } },
+            ),
         )
     val jobs: JobService =
         JobService(
@@ -165,6 +175,7 @@
     fun startControllers(scope: CoroutineScope) {
         scope.launch { list.run() }
         scope.launch { membership.run() }
+        scope.launch { upstreams.run() }
         scope.launch { notes.run() }
         scope.launch { ownership.run() }
         scope.launch { requests.run() }
@@ -176,13 +187,27 @@
         link.close()
     }
 
-    private fun heartbeat(): Heartbeat =
-        Heartbeat(
+    private fun heartbeat(): Heartbeat {
+        val report = upstreams.reportForPeers()
+        return Heartbeat(
             dataCentre = settings.instance.dataCentre,
             noteVersion = notes.heartbeatVersion,
             owned = ownership.owned(),
+            leavingUpstreams = report.leaving,
+            load = requests.classLoads().toWire(),
+            unreachableUpstreams = report.unreachable,
             isLeaving = isDraining,
         )
+    }
+
+    private suspend fun probe(upstream: Upstream): UpstreamEvidence =
+        when (val result = workerClients(upstream.baseUrl).status()) {
+            is ReadResult.Unavailable -> UpstreamEvidence.UNREACHABLE
+            is ReadResult.Found -> {
+                val isLeaving = result.value.state == ListedInstance.STATE_LEAVING
+                if (isLeaving) UpstreamEvidence.LEAVING else UpstreamEvidence.ANSWERED
+            }
+        }
 
     private suspend fun receiveHints() {
         network.messages.collect { received ->
--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/LoadExchange.kt
@@ -0,0 +1,14 @@
+package org.orioleferry.daemon
+
+import org.orioleferry.coordination.peer.Heartbeat
+import org.orioleferry.core.model.JobClassName
+import org.orioleferry.core.sharing.ClassLoad
+import org.orioleferry.coordination.peer.ClassLoad as WireClassLoad
+
+/** Loads of this instance's classes as they are sent to the peers; idle classes are left out. */
+internal fun Map<JobClassName, ClassLoad>.toWire(): Map<JobClassName, WireClassLoad> =
+    filterValues { it.demand > 0 }.mapValues { (_, load) -> WireClassLoad(load.queued, load.running) }
+
+/** Loads of the classes on the sender of a heartbeat. */
+internal fun Heartbeat.classLoads(): Map<JobClassName, ClassLoad> =
+    load.mapValues { (_, load) -> ClassLoad(load.queued, load.running) }
