Measure a connection per call with the Java library's client

The earlier comparison mixed two effects: the engine and whether connections are kept. The new variant sends "Connection: close", as HttpLink does.

--- a/stand-ins/src/main/kotlin/org/orioleferry/standins/measure/EngineVariant.kt
+++ b/stand-ins/src/main/kotlin/org/orioleferry/standins/measure/EngineVariant.kt
@@ -35,7 +35,8 @@
     mapOf(
         "http-link" to httpLink(baseUrl),
         "cio-default-dispatcher" to cio(baseUrl) { engine { dispatcher = Dispatchers.Default } },
-        "jdk-kept-connections" to jdk(baseUrl),
+        "jdk-connection-per-call" to jdk(baseUrl) { header("Connection", "close") },
+        "jdk-kept-connections" to jdk(baseUrl) { this },
     )
 
 private fun httpLink(baseUrl: String): EngineVariant {
@@ -60,7 +61,12 @@
 }
 
 /** The client that the Java engine of Ktor wraps; the engine itself is not among the project's libraries. */
-private fun jdk(baseUrl: String): EngineVariant {
+private fun jdk(
+    baseUrl: String,
+    configure: HttpRequest.Builder.() -> HttpRequest.Builder,
+): EngineVariant {
+    // The client rejects the header otherwise. The property is read when the client's classes are loaded.
+    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "connection")
     val client =
         java.net.http.HttpClient
             .newBuilder()
@@ -68,7 +74,12 @@
             .build()
     val send: SendRequest = { request ->
         val body = HttpRequest.BodyPublishers.ofString(wireJson.encodeToString(request))
-        val call = HttpRequest.newBuilder(URI("$baseUrl/requests")).POST(body).build()
+        val call =
+            HttpRequest
+                .newBuilder(URI("$baseUrl/requests"))
+                .POST(body)
+                .configure()
+                .build()
         isAnswerTo(request, client.sendAsync(call, BodyHandlers.ofString()).await().body())
     }
     return EngineVariant(send) { }
