--- a/coordination/src/main/kotlin/org/orioleferry/coordination/membership/Member.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/membership/Member.kt
@@ -1,8 +1,10 @@
 package org.orioleferry.coordination.membership
 
+import org.orioleferry.coordination.peer.ClassLoad
 import org.orioleferry.coordination.peer.Heartbeat
 import org.orioleferry.core.model.DataCentre
 import org.orioleferry.core.model.InstanceId
+import org.orioleferry.core.model.JobClassName
 
 /** What this instance believes of another entry instance. */
 public enum class MemberState {
@@ -22,13 +24,19 @@
     DEAD,
 }
 
-/** An entry instance as this one sees it. [heartbeat] is the last one; null before the first. */
+/**
+ * An entry instance as this one sees it.
+ *
+ * @property heartbeat the last one; null before the first. It has the load of some classes only.
+ * @property load load of each class as last reported.
+ */
 public data class Member(
     val id: InstanceId,
     val dataCentre: DataCentre,
     val state: MemberState,
     val incarnation: Long,
     val heartbeat: Heartbeat?,
+    val load: Map<JobClassName, ClassLoad> = emptyMap(),
 )
 
 /**
@@ -37,6 +45,9 @@
  * @property checkMs period of the check for missing heartbeats.
  * @property slowObserverMs a check that is late by more than this shows that this process was slow; the time lost
  * is not counted against the peers.
+ * @property loadsPerHeartbeat classes whose load one heartbeat carries, in rotation. Operators define any number of
+ * classes, and a class takes about 21 B in each of 10 heartbeats a second.
+ * @property loadExpiryMs time after which a load that is not repeated is dropped, as for a withdrawn class.
  * @property forgetMs time after which a dead instance that the platform no longer lists is forgotten.
  */
 public data class MembershipSettings(
@@ -45,5 +56,7 @@
     val deadMs: Long = 6_000,
     val checkMs: Long = 250,
     val slowObserverMs: Long = 1_000,
+    val loadsPerHeartbeat: Int = 3,
+    val loadExpiryMs: Long = 30_000,
     val forgetMs: Long = 60_000,
 )
--- a/coordination/src/main/kotlin/org/orioleferry/coordination/membership/Membership.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/membership/Membership.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.launch
 import org.orioleferry.coordination.notes.NoteAudience
+import org.orioleferry.coordination.peer.ClassLoad
 import org.orioleferry.coordination.peer.Heartbeat
 import org.orioleferry.coordination.peer.PeerAddress
 import org.orioleferry.coordination.peer.PeerNetwork
@@ -15,6 +16,7 @@
 import org.orioleferry.core.event.EventType
 import org.orioleferry.core.model.DataCentre
 import org.orioleferry.core.model.InstanceId
+import org.orioleferry.core.model.JobClassName
 import org.orioleferry.platform.ListedInstance
 import kotlin.random.Random
 
@@ -37,6 +39,7 @@
     private val peers = sortedMapOf<String, Peer>()
     private var lastCheckMs: Long? = null
     private var hasList = false
+    private var loadOffset = 0
 
     @Volatile
     private var isLeaving = false
@@ -53,8 +56,14 @@
         var sequence = 0L
         var heartbeat: Heartbeat? = null
         var state = MemberState.JOINING
+        val loads = mutableMapOf<JobClassName, TimedLoad>()
     }
 
+    private class TimedLoad(
+        val load: ClassLoad,
+        val heardMs: Long,
+    )
+
     /** Runs until cancelled. */
     public suspend fun run(): Unit =
         coroutineScope {
@@ -82,7 +91,10 @@
     /** All known other instances, in the order of their ids. */
     public fun members(): List<Member> =
         synchronized(lock) {
-            peers.values.map { Member(it.id, it.dataCentre, it.state, it.incarnation, it.heartbeat) }
+            peers.values.map { peer ->
+                val loads = peer.loads.mapValues { it.value.load }
+                Member(peer.id, peer.dataCentre, peer.state, peer.incarnation, peer.heartbeat, loads)
+            }
         }
 
     /** Instances that may own a domain, this one included unless it is leaving. */
@@ -104,11 +116,20 @@
 
     /** Sends one heartbeat to each peer that has a connection. */
     public fun sendHeartbeats() {
-        val content = heartbeat().let { it.copy(isLeaving = it.isLeaving || isLeaving) }
+        val next = heartbeat()
+        val content = next.copy(isLeaving = next.isLeaving || isLeaving, load = someLoads(next.load))
         val targets = synchronized(lock) { peers.values.map { it.id } }
         targets.forEach { network.send(it, content) }
     }
 
+    private fun someLoads(all: Map<JobClassName, ClassLoad>): Map<JobClassName, ClassLoad> {
+        val names = all.keys.sortedBy { it.value }
+        val count = minOf(settings.loadsPerHeartbeat, names.size)
+        val chosen = List(count) { names[(loadOffset + it) % names.size] }
+        if (count > 0) loadOffset = (loadOffset + count) % names.size
+        return chosen.associateWith(all::getValue)
+    }
+
     /** Takes the platform's list: new candidates are dialed; instances that heartbeat stay without being listed. */
     internal fun onList(instances: List<ListedInstance>) {
         val entries = instances.filter { it.kind == ListedInstance.KIND_ENTRY && it.id != self.value }
@@ -143,6 +164,8 @@
                 peer.heartbeat = content
                 peer.dataCentre = content.dataCentre
                 peer.heardMs = clock.monotonicMs()
+                if (!isSameProcess) peer.loads.clear()
+                content.load.forEach { (name, load) -> peer.loads[name] = TimedLoad(load, peer.heardMs) }
                 peer.state = stateOf(peer, 0)
                 isNew
             }
@@ -157,6 +180,9 @@
                 val lateMs = lastCheckMs?.let { now - it - settings.checkMs } ?: 0
                 lastCheckMs = now
                 if (lateMs > settings.slowObserverMs) peers.values.forEach { it.heardMs += lateMs }
+                peers.values.forEach { peer ->
+                    peer.loads.values.removeAll { now - it.heardMs >= settings.loadExpiryMs }
+                }
                 peers.values.removeAll { !it.isListed && now - it.heardMs >= settings.forgetMs }
                 peers.values.mapNotNull { peer ->
                     val state = stateOf(peer, now - peer.heardMs)
--- a/coordination/src/main/kotlin/org/orioleferry/coordination/peer/PeerMessage.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/peer/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
 import kotlinx.serialization.cbor.CborLabel
 import org.orioleferry.coordination.notes.CommittedNote
 import org.orioleferry.core.event.Event
@@ -21,20 +22,22 @@
  *
  * @property queued requests that wait.
  * @property running requests in progress.
- * @property arrivals requests that arrived since the last heartbeat.
+ * @property arrivals requests that arrived per second, on average since the class was last reported.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
+@CborArray
 public data class ClassLoad(
-    @CborLabel(1) val queued: Int = 0,
-    @CborLabel(2) val running: Int = 0,
-    @CborLabel(3) val arrivals: Int = 0,
+    val queued: Int = 0,
+    val running: Int = 0,
+    val arrivals: Int = 0,
 )
 
 /**
  * Sent to each peer every second. Integer labels instead of names keep it within the traffic limit.
  *
  * @property owned owned domains with their epochs.
+ * @property load load of some classes; [org.orioleferry.coordination.membership.Membership] sends a few at a time.
  * @property leavingUpstreams workers that some source reports as leaving.
  * @property unreachableUpstreams workers that failed the sender's probes.
  * @property isLeaving whether the sender is shutting down and competes for nothing.
--- a/coordination/src/test/kotlin/org/orioleferry/coordination/membership/MembershipTest.kt
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/membership/MembershipTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
+import org.orioleferry.coordination.peer.ClassLoad
 import org.orioleferry.coordination.peer.Heartbeat
 import org.orioleferry.coordination.peer.PeerMessage
 import org.orioleferry.coordination.peer.ReceivedMessage
@@ -17,6 +18,7 @@
 import org.orioleferry.core.event.EventType
 import org.orioleferry.core.model.DataCentre
 import org.orioleferry.core.model.InstanceId
+import org.orioleferry.core.model.JobClassName
 import org.orioleferry.platform.ListedInstance
 import org.orioleferry.platform.ReadResult
 import strikt.api.expectThat
@@ -33,6 +35,7 @@
     private val ids = List(3) { InstanceId("entry-$it") }
     private val events = RecordedEvents()
     private var listed = ids
+    private var load = emptyMap<JobClassName, ClassLoad>()
 
     private fun entries() =
         listed.map { ListedInstance(it.value, ListedInstance.KIND_ENTRY, place.value, address = "", peerAddress = "") }
@@ -45,7 +48,9 @@
             val watcher = InstanceListWatcher({ ReadResult.Found(entries()) }, Random(index))
             val clock = VirtualClock(testScheduler)
             val member =
-                Membership(id, watcher, peers.node(id), clock, Random(index), settings, events) { Heartbeat(place) }
+                Membership(id, watcher, peers.node(id), clock, Random(index), settings, events) {
+                    Heartbeat(place, load = load)
+                }
             backgroundScope.launch { watcher.run() }
             backgroundScope.launch { member.run() }
             member
@@ -157,4 +162,20 @@
             // The third instance is not listed, but it reads the list and sends heartbeats to the others.
             expectThat(second.candidates()).contains(ids[2])
         }
+
+    // Guards against heartbeats that grow with the number of classes, and against loads that are kept for ever.
+    @Test
+    fun `should report the load of many classes a few at a time`() =
+        runTest {
+            load = (1..8).associate { JobClassName("class-$it") to ClassLoad(queued = it) }
+            val all = load
+            val (first) = start(InMemoryPeers(backgroundScope))
+            advanceTimeBy(4_500)
+            val member = first.members().first()
+            expectThat(member.load).isEqualTo(all)
+            expectThat(member.heartbeat?.load?.size).isEqualTo(3)
+            load = all.filterValues { it.queued < 8 }
+            advanceTimeBy(32_000)
+            expectThat(first.members().first().load).isEqualTo(load)
+        }
 }
