--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Resolver.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Resolver.kt
@@ -143,6 +143,7 @@
         val seal =
             withTimeoutOrNull(SEAL_DEADLINE_MS) { client.seal(record.requestId) }
                 ?: SealResult.Unavailable("no answer from the worker")
+        if (seal !is SealResult.Unavailable) pool.answered(record.worker)
         return when (seal) {
             is SealResult.Done -> record.done(seal.result)
             SealResult.Failed -> record.failed("the request failed on the worker")
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/UpstreamPool.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/UpstreamPool.kt
@@ -97,6 +97,13 @@
     ): WorkerClient =
         synchronized(this) { entries[worker]?.takeIf { it.upstream.baseUrl == baseUrl }?.client } ?: clients(baseUrl)
 
+    /** Notes that a worker answered a call other than a dispatch, so that it need not rest. */
+    fun answered(worker: WorkerId) {
+        directory.report(worker, UpstreamEvidence.ANSWERED)
+        synchronized(this) { entries[worker] }?.backoff?.onSuccess()
+        onRoom()
+    }
+
     /** Gives back a slot that was taken for a request that does not come, without granting it to another one. */
     fun giveBack(slot: UpstreamSlot) {
         if (slot.isReleased) return
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/IntentJournalTest.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/IntentJournalTest.kt
@@ -18,7 +18,6 @@
 import org.orioleferry.standins.InMemoryTableService
 import org.orioleferry.standins.StoreFault
 import strikt.api.expectThat
-import strikt.assertions.all
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
@@ -28,15 +27,44 @@
     private val record =
         RequestRecord("r1", RecordState.INTENT, SHEDS, CREDIT, WorkerId("w0"), "w0", InstanceId("e1"), "d", 0)
 
-    // Guards against one store write for each request, which the store cannot bear.
+    // Guards against one transaction for each row, which the store cannot bear.
     @Test
-    fun `concurrent intents should share transactions`() =
+    fun `concurrent requests should share transactions`() {
+        listOf(1, 10, 100, 1_000).forEach { concurrency ->
+            val (grouped, groupedMs) = transactionsPerRequest(concurrency, IntentJournal.MAX_BATCH)
+            val (single, singleMs) = transactionsPerRequest(concurrency, 1)
+            println(
+                "measured: $concurrency at once: $grouped transactions a request in $groupedMs ms, " +
+                    "without group commit $single in $singleMs ms",
+            )
+            expectThat(single).isEqualTo(2.0)
+            if (concurrency >= 100) expectThat(grouped).isLessThan(0.2)
+        }
+    }
+
+    /** Writes the intent and the result of 1,000 requests in groups of [concurrency]; also gives the time taken. */
+    private fun transactionsPerRequest(
+        concurrency: Int,
+        maxBatch: Int,
+    ): Pair<Double, Long> {
+        var result = 0.0 to 0L
         runTest {
-            val journal = journal(InMemoryTableService { slow() })
-            val results = List(100) { async { write(journal, "k$it") } }.awaitAll()
-            expectThat(results).all { isA<WriteResult.Written>() }
-            expectThat(journal.transactions).isLessThan(10)
+            val journal = journal(InMemoryTableService { slow() }, maxBatch)
+            repeat(1_000 / concurrency) { group ->
+                List(concurrency) { async { writeBoth(journal, "k$group-$it") } }.awaitAll()
+            }
+            result = journal.transactions / 1_000.0 to testScheduler.currentTime
         }
+        return result
+    }
+
+    private suspend fun writeBoth(
+        journal: IntentJournal,
+        key: String,
+    ) {
+        val intent = journal.write(record.copy(requestId = key), key, 0, 60_000) as WriteResult.Written
+        journal.write(record.copy(requestId = key).done("ok"), key, intent.version, 60_000)
+    }
 
     // Guards against a repeat that fails or delays the requests it shares a transaction with, and against two writes of
     // one row that pass the comparison together.
@@ -110,13 +138,14 @@
             expectThat(results.count { it == WriteResult.Unavailable }).isEqualTo(6_000 - IntentJournal.MAX_PENDING)
         }
 
-    private fun TestScope.journal(table: TableService): IntentJournal {
+    private fun TestScope.journal(
+        table: TableService,
+        maxBatch: Int = IntentJournal.MAX_BATCH,
+    ): IntentJournal {
         val clock = FunctionClock { testScheduler.currentTime }
-        return IntentJournal(
-            table,
-            clock,
-            RequestSettings(InstanceId("e1")),
-        ).also { backgroundScope.launch { it.run() } }
+        val journal = IntentJournal(table, clock, RequestSettings(InstanceId("e1")), maxBatch)
+        backgroundScope.launch { journal.run() }
+        return journal
     }
 
     private suspend fun write(
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
@@ -25,6 +25,7 @@
 import org.orioleferry.core.model.Workspace
 import org.orioleferry.core.model.WorkspaceName
 import org.orioleferry.platform.Execution
+import org.orioleferry.platform.SealResult
 import org.orioleferry.platform.TableOperation
 import org.orioleferry.platform.TableService
 import org.orioleferry.platform.WorkerClient
@@ -224,3 +225,10 @@
         if (coversKey && executions().any { it.key == key }) problems += "false not run for $key: $failure"
     }
 }
+
+/** Says that a request never ran, without making sure that it does not start later. */
+internal class SealWithoutEffect(
+    private val client: WorkerClient,
+) : WorkerClient by client {
+    override suspend fun seal(requestId: String): SealResult = SealResult.NeverRun
+}
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/ResolverTest.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/ResolverTest.kt
@@ -8,7 +8,6 @@
 import org.junit.jupiter.api.Test
 import org.orioleferry.core.FailureCode
 import org.orioleferry.core.Outcome
-import org.orioleferry.platform.SealResult
 import org.orioleferry.platform.WorkerClient
 import org.orioleferry.standins.AnswerFault
 import org.orioleferry.standins.CallFault
@@ -174,13 +173,6 @@
         return isDead
     }
 
-    /** Says that a request never ran, without making sure that it does not start later. */
-    private class SealWithoutEffect(
-        private val client: WorkerClient,
-    ) : WorkerClient by client {
-        override suspend fun seal(requestId: String): SealResult = SealResult.NeverRun
-    }
-
     private companion object {
         /** Before and after each of the two writes, before and after the first byte, and before the answer. */
         const val STEPS = 7
