Read the instance list often after the start

bin/demo waited 5.4 s for the first release note to be in force on all instances, and once failed its 5 s limit: instances that start together do not find each other in their first read of the lagging list, and the next read came after 300 ms per entry, 11 s with 38 entries and 294 s at 980. The period now is the shortest one for 30 s after the first read.

--- a/coordination/src/main/kotlin/org/orioleferry/coordination/membership/InstanceListWatcher.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/membership/InstanceListWatcher.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import org.orioleferry.core.Clock
 import org.orioleferry.platform.InstanceList
 import org.orioleferry.platform.ListedInstance
 import org.orioleferry.platform.ReadResult
@@ -15,18 +16,23 @@
  * @property minPeriodMs shortest time between two reads, and the time until a failed read is repeated.
  * @property perEntryMs time between two reads for each entry of the list. An entry is about 150 B, so 300 ms keep the
  * reads at 0.5 KB/s whatever the size of the fleet; direct evidence and peers' reports are faster than the list.
+ * @property startupMs time after the first read in which [minPeriodMs] alone applies. The list lags, so instances that
+ * start together do not find each other in their first read.
  */
 public data class ListSettings(
     val minPeriodMs: Long = 2_000,
     val perEntryMs: Long = 300,
+    val startupMs: Long = 30_000,
 )
 
 /** Reads the platform's list once for all users in this process. */
 public class InstanceListWatcher(
     private val list: InstanceList,
     private val random: Random,
+    private val clock: Clock,
     private val settings: ListSettings = ListSettings(),
 ) {
+    private val firstReadMs by lazy { clock.monotonicMs() }
     private val latest = MutableStateFlow<List<ListedInstance>?>(null)
 
     /** The list as last read; null until the first read succeeds. A failed read keeps the previous list. */
@@ -39,10 +45,12 @@
 
     /** Reads the list once and returns the time until the next read in milliseconds. */
     public suspend fun step(): Long {
+        val isStarting = clock.monotonicMs() - firstReadMs < settings.startupMs
         val result = list.list()
         if (result is ReadResult.Found) latest.value = result.value
         val entries = (result as? ReadResult.Found)?.value?.size ?: 0
-        val periodMs = maxOf(settings.minPeriodMs, entries * settings.perEntryMs)
+        val steadyMs = maxOf(settings.minPeriodMs, entries * settings.perEntryMs)
+        val periodMs = if (isStarting) settings.minPeriodMs else steadyMs
         return periodMs - random.nextLong(periodMs / JITTER_DIVISOR + 1)
     }
 
--- a/coordination/src/test/kotlin/org/orioleferry/coordination/CoordinationMeasurements.kt
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/CoordinationMeasurements.kt
@@ -63,7 +63,7 @@
                     ListedInstance(id.value, ListedInstance.KIND_ENTRY, "a", "", "", "127.0.0.1:${ports[index]}")
                 }
             networks.forEachIndexed { index, network ->
-                val watcher = InstanceListWatcher({ ReadResult.Found(entries) }, Random(index))
+                val watcher = InstanceListWatcher({ ReadResult.Found(entries) }, Random(index), SystemClock)
                 val member = Membership(ids[index], watcher, network, SystemClock, Random(index)) { heartbeat }
                 scope.launch { watcher.run() }
                 scope.launch { member.run() }
--- a/coordination/src/test/kotlin/org/orioleferry/coordination/membership/MembershipTest.kt
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/membership/MembershipTest.kt
@@ -45,8 +45,8 @@
         settings: MembershipSettings = MembershipSettings(),
     ): List<Membership> =
         ids.mapIndexed { index, id ->
-            val watcher = InstanceListWatcher({ ReadResult.Found(entries()) }, Random(index))
             val clock = VirtualClock(testScheduler)
+            val watcher = InstanceListWatcher({ ReadResult.Found(entries()) }, Random(index), clock)
             val member =
                 Membership(id, watcher, peers.node(id), clock, Random(index), settings, events) {
                     Heartbeat(place, load = load)
@@ -98,7 +98,7 @@
         val events: RecordedEvents = RecordedEvents(),
     ) {
         val clock = ManualClock()
-        private val watcher = InstanceListWatcher({ ReadResult.Unavailable("not read") }, Random(1))
+        private val watcher = InstanceListWatcher({ ReadResult.Unavailable("not read") }, Random(1), clock)
         private val network = InMemoryPeers(TestScope()).node(InstanceId("self"))
         val membership =
             Membership(InstanceId("self"), watcher, network, clock, Random(1), settings, events) {
--- a/coordination/src/test/kotlin/org/orioleferry/coordination/notes/NoteDistributionTest.kt
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/notes/NoteDistributionTest.kt
@@ -67,7 +67,7 @@
         val id = ids[index]
         val random = Random(seed * 100 + index)
         val entries = ids.map { ListedInstance(it.value, ListedInstance.KIND_ENTRY, place.value, address = "") }
-        val watcher = InstanceListWatcher({ ReadResult.Found(entries) }, random)
+        val watcher = InstanceListWatcher({ ReadResult.Found(entries) }, random, clock)
         val network = peers.node(id)
         lateinit var notes: NoteDistribution
         val membership =
--- a/coordination/src/test/kotlin/org/orioleferry/coordination/upstream/ObservedUpstreamsTest.kt
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/upstream/ObservedUpstreamsTest.kt
@@ -49,7 +49,7 @@
         ids.mapIndexed { index, id ->
             val clock = VirtualClock(test.testScheduler)
             val entries = ids.map { ListedInstance(it.value, ListedInstance.KIND_ENTRY, "solin", address = "") }
-            val watcher = InstanceListWatcher({ ReadResult.Found(entries + workers) }, Random(index))
+            val watcher = InstanceListWatcher({ ReadResult.Found(entries + workers) }, Random(index), clock)
             val network = peers.node(id)
             lateinit var directory: ObservedUpstreams
             val membership =
@@ -146,7 +146,7 @@
     ) {
         val clock = ManualClock()
         private val network = InMemoryPeers(TestScope()).node(InstanceId("self"))
-        private val watcher = InstanceListWatcher({ ReadResult.Unavailable("not read") }, Random(1))
+        private val watcher = InstanceListWatcher({ ReadResult.Unavailable("not read") }, Random(1), clock)
         private val upstreamSettings = UpstreamSettings(quarantine = settings)
         val directory =
             ObservedUpstreams(InstanceId("self"), watcher, network, { emptyList() }, clock, upstreamSettings) {
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
@@ -85,6 +85,7 @@
         InstanceListWatcher(
             HttpInstanceList(settings.platform.baseUrl, settings.platform.deadlineMs, link),
             random,
+            clock,
             ListSettings(minPeriodMs = settings.membership.listPullMs),
         )
     val membership: Membership =
