--- a/core/src/main/kotlin/org/orioleferry/core/sharing/ClassShares.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/sharing/ClassShares.kt
@@ -4,6 +4,7 @@
 import org.orioleferry.core.model.JobClass
 import org.orioleferry.core.model.JobClassName
 import kotlin.math.ceil
+import kotlin.math.floor
 import kotlin.math.max
 import kotlin.math.min
 
@@ -24,6 +25,7 @@
 
     /** Room for a class whose demand grows between two exchanges of loads. */
     private const val GROWTH = 1.25
+    private const val ROUNDING = 1e-6
 
     /**
      * Share of each of [classes] when all of them have more work than capacity: proportional to the weight, but not
@@ -63,7 +65,11 @@
         return classes.associate {
             val total = max(1, everywhere.getValue(it.name))
             val here = local[it.name]?.demand ?: 0
-            it.name to max(1, ceil(entitled.getValue(it.name) * here / total).toInt())
+            val slots = entitled.getValue(it.name)
+            val part = slots * here / total
+            // Rounding up every class would add up to more slots than there are, at the expense of the floors.
+            val isAtFloor = slots <= it.floorShare * capacity + ROUNDING
+            it.name to max(1, (if (isAtFloor) ceil(part) else floor(part + ROUNDING)).toInt())
         }
     }
 
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/IntentJournal.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/IntentJournal.kt
@@ -12,6 +12,7 @@
 import org.orioleferry.platform.RowConflict
 import org.orioleferry.platform.TableOperation
 import org.orioleferry.platform.TableService
+import java.util.concurrent.atomic.AtomicLong
 
 /** Result of writing one row of the journal. */
 internal sealed interface WriteResult {
@@ -62,9 +63,10 @@
     private val keysInFlight = mutableSetOf<String>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
 
+    private val sent = AtomicLong()
+
     /** Transactions sent so far. */
-    var transactions: Long = 0
-        private set
+    val transactions: Long get() = sent.get()
 
     /** Writes that wait or are under way. */
     val backlog: Int get() = synchronized(this) { pending.size + keysInFlight.size }
@@ -134,7 +136,7 @@
             }
             val result =
                 try {
-                    transactions++
+                    sent.incrementAndGet()
                     withTimeoutOrNull(settings.storeDeadlineMs) { table.commit(batch.map(::operationOf)) }
                         ?: CommitResult.Unknown("no answer from the store")
                 } finally {
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestPeers.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestPeers.kt
@@ -14,6 +14,6 @@
  */
 public class RequestPeers(
     public val liveInstances: () -> Set<InstanceId>,
-    public val assigned: (key: String, candidates: Set<InstanceId>) -> InstanceId,
     public val loads: () -> List<Map<JobClassName, ClassLoad>> = { emptyList() },
+    public val assigned: (key: String, candidates: Set<InstanceId>) -> InstanceId,
 )
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestService.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/RequestService.kt
@@ -8,6 +8,7 @@
 import org.orioleferry.core.Failure
 import org.orioleferry.core.FailureCode
 import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.LateItem
 import org.orioleferry.core.api.RequestAnswer
 import org.orioleferry.core.api.RequestBody
 import org.orioleferry.core.api.RequestStatus
@@ -88,6 +89,9 @@
     /** Requests that wait and run in each class, for the exchange between instances. */
     public fun classLoads(): Map<JobClassName, ClassLoad> = sharer.loads()
 
+    /** Requests of unknown outcome that this instance knows of. */
+    public fun unknownOutcomes(): List<LateItem> = resolver.unknownOutcomes()
+
     /** Background work: group commit, resolution of unknown outcomes, and turns for waiting requests. */
     public suspend fun run(): Unit =
         coroutineScope {
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Resolver.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/Resolver.kt
@@ -5,8 +5,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.orioleferry.core.Clock
+import org.orioleferry.core.api.LateItem
 import org.orioleferry.core.event.EventSink
 import org.orioleferry.core.event.EventType
+import org.orioleferry.core.model.WorkspaceName
 import org.orioleferry.platform.ReadResult
 import org.orioleferry.platform.SealResult
 import java.util.concurrent.ConcurrentHashMap
@@ -59,6 +61,22 @@
     /** Attempts that wait for resolution. */
     val openCount: Int get() = synchronized(open) { open.size }
 
+    /** Requests whose outcome this instance is trying to find out, for the operations desk. */
+    fun unknownOutcomes(): List<LateItem> {
+        val now = clock.monotonicMs()
+        return synchronized(open) { open.values.filterNot { it.isUnsent } }.map {
+            val workspace = WorkspaceName(it.key.substringBeforeLast('/'))
+            LateItem(
+                "request",
+                it.requestId,
+                workspace,
+                "unknown",
+                now - it.sinceMs,
+                "key ${it.key.substringAfterLast('/')}",
+            )
+        }
+    }
+
     /** Notes that this instance is about to write and send [requestId]. */
     fun beginDispatch(requestId: String) {
         dispatching += requestId
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
@@ -59,6 +59,10 @@
 ) {
     private val clock = FunctionClock { test.testScheduler.currentTime }
     private var requestIds = 0
+    private val services = mutableMapOf<String, RequestService>()
+
+    /** Whether instances tell each other what waits and runs in each class. */
+    var exchangesLoads = true
     var storeFault: suspend (List<TableOperation>) -> StoreFault = { StoreFault.NONE }
     var beforeEffect: CallFaultHook = { CallFault.NONE }
     var afterEffect: AnswerFaultHook = { AnswerFault.NONE }
@@ -91,15 +95,26 @@
                 clock,
                 { _, _ -> },
                 settings,
-                RequestPeers({ live.toSet() }, { key, candidates -> candidates.maxBy { (key + it).hashCode() } }),
+                RequestPeers({ live.toSet() }, { loadsOfOthers(name) }) { key, candidates ->
+                    candidates.maxBy {
+                        (
+                            key +
+                                it
+                        ).hashCode()
+                    }
+                },
                 { "$name-${requestIds++}" },
                 Random(seed + name.hashCode()),
             )
+        services[name] = service
         return TestInstance(service, settings.instance, this, test.backgroundScope)
     }
 
     fun executions(): List<Execution> = workers.values.flatMap { it.executions() }
 
+    private fun loadsOfOthers(name: String) =
+        if (exchangesLoads) services.filterKeys { it != name }.values.map { it.classLoads() } else emptyList()
+
     private fun clientFor(url: String): WorkerClient =
         InProcessWorkerClient(
             workers.getValue(WorkerId(url)),
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/ResolverTest.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/ResolverTest.kt
@@ -45,8 +45,10 @@
             val instance = world.instance()
             val first = instance.call(credit("k1")).await().failure
             expectThat(first.code).isEqualTo(FailureCode.OUTCOME_UNKNOWN)
+            expectThat(instance.service.unknownOutcomes().map { it.reason }).isEqualTo(listOf("key k1"))
             isCut = false
             delay(10_000)
+            expectThat(instance.service.unknownOutcomes()).isEmpty()
             val status = instance.service.lookUp(SHEDS, "k1") as Outcome.Success
             expectThat(status.value.state).isEqualTo("done")
             instance.call(credit("k1")).await().answer
