Test that the chain of notes never goes back

Measured: the new test passes, and fails in a trial with the version check of NoteChain.install removed.

--- a/coordination/src/test/kotlin/org/orioleferry/coordination/notes/NoteDistributionTest.kt
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/notes/NoteDistributionTest.kt
@@ -23,6 +23,7 @@
 import org.orioleferry.core.FailureCode
 import org.orioleferry.core.Outcome
 import org.orioleferry.core.api.NoteAccepted
+import org.orioleferry.core.model.Configuration
 import org.orioleferry.core.model.DataCentre
 import org.orioleferry.core.model.Definitions
 import org.orioleferry.core.model.InstanceId
@@ -232,4 +233,25 @@
             advanceTimeBy(4_000)
             expectThat(all.map { it.isReady.value }).all { isEqualTo(true) }
         }
+
+    // Guards against a configuration that goes back or forks when an old or foreign message arrives.
+    @Test
+    fun `should ignore older snapshots, repeated notes and notes of another chain`() {
+        fun committed(
+            version: Long,
+            previous: String,
+        ): CommittedNote {
+            val content = NoteDigest.ofContent(note("note-$version"))
+            val digest = NoteDigest.ofChain(previous, version, content)
+            return CommittedNote(version, note("note-$version"), content, digest, InstanceId("entry-0"), 0)
+        }
+        val first = committed(1, "")
+        val second = committed(2, first.digest)
+        val chain = NoteChain()
+        expectThat(chain.append(listOf(second))).hasSize(0)
+        expectThat(chain.append(listOf(second, first, first))).isEqualTo(listOf(first, second))
+        expectThat(chain.append(listOf(committed(3, "foreign")))).hasSize(0)
+        expectThat(chain.install(NoteSnapshot(Configuration(version = 1), first.digest))).isEqualTo(false)
+        expectThat(chain.version).isEqualTo(2)
+    }
 }
