--- /dev/null
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/ownership/Contender.kt
@@ -0,0 +1,49 @@
+package org.orioleferry.coordination.ownership
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import org.orioleferry.coordination.store.GuardedTableService
+import org.orioleferry.coordination.testing.StoreLink
+import org.orioleferry.coordination.testing.VirtualClock
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.InstanceId
+import org.orioleferry.platform.TableService
+import kotlin.random.Random
+
+internal val DOMAINS = listOf("kalamata-a", "pylos-b", "koroni-c", "messini-d", "fifth-e").map(::DataCentre)
+
+/** One instance with its own link to the store. */
+internal class Contender(
+    val id: InstanceId,
+    val link: StoreLink,
+    val manager: OwnershipManager,
+) {
+    lateinit var job: Job
+
+    fun start(scope: CoroutineScope) {
+        job = scope.launch { manager.run() }
+    }
+}
+
+@OptIn(ExperimentalCoroutinesApi::class)
+internal fun TestScope.contenders(
+    count: Int,
+    store: TableService,
+    seed: Int,
+    domains: List<DataCentre> = DOMAINS,
+    isGuarded: Boolean = true,
+    latencyMs: () -> Long = { 1 },
+): List<Contender> {
+    val clock = VirtualClock(testScheduler)
+    val ids = List(count) { InstanceId("entry-$it") }
+    return ids.mapIndexed { index, id ->
+        val link = StoreLink(store, clock, latencyMs)
+        val random = Random(seed * 1_000 + index)
+        val guarded = if (isGuarded) GuardedTableService(link, clock, random) else link
+        val self = OwnershipCandidate(id, random.nextLong())
+        Contender(id, link, OwnershipManager(self, domains, guarded, clock, random, { ids }))
+    }
+}
