Carry the Lamport clock in peer messages

The merged time line ordered events by logical time, but no message carried it, so a cause on one instance could be listed after its effect on another. Every frame now has the sender's logical time, and a received one moves the receiver's clock. Older frames without the field still decode.

--- a/coordination/src/main/kotlin/org/orioleferry/coordination/peer/PeerCodec.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/peer/PeerCodec.kt
@@ -18,6 +18,15 @@
     @CborLabel(4) val incarnation: Long,
     @CborLabel(5) val sequence: Long,
     @CborLabel(6) @ByteString val body: ByteArray,
+    @CborLabel(7) val logicalTime: Long = 0,
+)
+
+/** What a frame says of its sender. */
+internal data class FrameHeader(
+    val from: InstanceId,
+    val incarnation: Long,
+    val sequence: Long,
+    val logicalTime: Long = 0,
 )
 
 /** Result of decoding a frame. */
@@ -60,42 +69,29 @@
         )
 
     fun encode(
-        from: InstanceId,
-        incarnation: Long,
-        sequence: Long,
+        header: FrameHeader,
         message: PeerMessage,
     ): ByteArray =
         when (message) {
-            is Heartbeat -> encode(from, incarnation, sequence, "heartbeat", Heartbeat.serializer(), message)
-            is NotesRequest -> encode(from, incarnation, sequence, "notes-request", NotesRequest.serializer(), message)
-            is Notes -> encode(from, incarnation, sequence, "notes", Notes.serializer(), message)
-            is JobHint -> encode(from, incarnation, sequence, "job-hint", JobHint.serializer(), message)
-            is EventsRequest ->
-                encode(
-                    from,
-                    incarnation,
-                    sequence,
-                    "events-request",
-                    EventsRequest.serializer(),
-                    message,
-                )
-            is Events -> encode(from, incarnation, sequence, "events", Events.serializer(), message)
-            KeepAlive -> encode(from, incarnation, sequence, "keep-alive", KeepAlive.serializer(), KeepAlive)
+            is Heartbeat -> encode(header, "heartbeat", Heartbeat.serializer(), message)
+            is NotesRequest -> encode(header, "notes-request", NotesRequest.serializer(), message)
+            is Notes -> encode(header, "notes", Notes.serializer(), message)
+            is JobHint -> encode(header, "job-hint", JobHint.serializer(), message)
+            is EventsRequest -> encode(header, "events-request", EventsRequest.serializer(), message)
+            is Events -> encode(header, "events", Events.serializer(), message)
+            KeepAlive -> encode(header, "keep-alive", KeepAlive.serializer(), KeepAlive)
         }
 
     private fun <T> encode(
-        from: InstanceId,
-        incarnation: Long,
-        sequence: Long,
+        header: FrameHeader,
         kind: String,
         serializer: KSerializer<T>,
         message: T,
     ): ByteArray {
         val body = cbor.encodeToByteArray(serializer, message)
-        return cbor.encodeToByteArray(
-            Envelope.serializer(),
-            Envelope(VERSION, kind, from, incarnation, sequence, body),
-        )
+        val envelope =
+            with(header) { Envelope(VERSION, kind, from, incarnation, sequence, body, logicalTime) }
+        return cbor.encodeToByteArray(Envelope.serializer(), envelope)
     }
 
     fun decode(frame: ByteArray): Decoded =
@@ -106,9 +102,9 @@
                 Decoded.Unknown(envelope.kind)
             } else {
                 val message = cbor.decodeFromByteArray(serializer, envelope.body)
-                Decoded.Message(
-                    ReceivedMessage(envelope.from, envelope.incarnation, envelope.sequence, message),
-                )
+                val received =
+                    with(envelope) { ReceivedMessage(from, incarnation, sequence, message, logicalTime) }
+                Decoded.Message(received)
             }
         } catch (failure: RuntimeException) {
             // The decoder throws several unrelated exceptions for damaged input, not only SerializationException.
--- a/coordination/src/main/kotlin/org/orioleferry/coordination/peer/PeerMessage.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/peer/PeerMessage.kt
@@ -97,10 +97,16 @@
 @Serializable
 internal data object KeepAlive : PeerMessage
 
-/** A message with its sender. [sequence] grows with each message of one [incarnation] of the sender. */
+/**
+ * A message with its sender.
+ *
+ * @property sequence grows with each message of one [incarnation] of the sender.
+ * @property logicalTime Lamport clock of the sender, 0 when it sends none.
+ */
 public data class ReceivedMessage(
     val from: InstanceId,
     val incarnation: Long,
     val sequence: Long,
     val message: PeerMessage,
+    val logicalTime: Long = 0,
 )
--- a/coordination/src/main/kotlin/org/orioleferry/coordination/peer/SocketPeerNetwork.kt
+++ b/coordination/src/main/kotlin/org/orioleferry/coordination/peer/SocketPeerNetwork.kt
@@ -29,6 +29,15 @@
 
 private val logger = KotlinLogging.logger {}
 
+/**
+ * Lamport clock of the process: [read] gives the time to send along, [observe] takes the time of a received message.
+ * It orders events of several processes whose wall clocks differ.
+ */
+public class LamportClock(
+    public val read: () -> Long,
+    public val observe: (received: Long) -> Unit,
+)
+
 /**
  * [PeerNetwork] over TCP. Each pair of instances uses one connection; when both dial at the same time, the one that
  * was dialed by the lower id is used.
@@ -41,6 +50,7 @@
     private val incarnation: Long,
     private val random: Random,
     private val settings: PeerSettings = PeerSettings(),
+    private val lamport: LamportClock = LamportClock({ 0 }, {}),
 ) : PeerNetwork {
     private val counts = PeerCounts()
     private val sequence = AtomicLong()
@@ -91,7 +101,10 @@
         return isQueued
     }
 
-    private fun encode(message: PeerMessage) = PeerCodec.encode(self, incarnation, sequence.incrementAndGet(), message)
+    private fun encode(message: PeerMessage): ByteArray {
+        val header = FrameHeader(self, incarnation, sequence.incrementAndGet(), lamport.read())
+        return PeerCodec.encode(header, message)
+    }
 
     private fun preferredLink(peer: InstanceId): PeerLink? =
         links.filter { it.peer == peer }.maxWithOrNull(
@@ -207,6 +220,7 @@
             if (message.from != peer || message.from == self) return false
             link.peer = peer
             counts.messagesReceived.incrementAndGet()
+            lamport.observe(message.logicalTime)
             if (message.message != KeepAlive) received.emit(message)
             return true
         }
--- a/coordination/src/test/kotlin/org/orioleferry/coordination/peer/SocketPeerNetworkTest.kt
+++ b/coordination/src/test/kotlin/org/orioleferry/coordination/peer/SocketPeerNetworkTest.kt
@@ -100,7 +100,7 @@
             val frames =
                 listOf(
                     cbor.encodeToByteArray(Envelope.serializer(), unknown),
-                    PeerCodec.encode(first, 1, 2, hint),
+                    PeerCodec.encode(FrameHeader(first, 1, 2), hint),
                     ByteArray(40) { -1 },
                 )
             val received = scope.launch { network.messages.first() }
@@ -135,8 +135,8 @@
     fun `should keep all fields of a heartbeat and reject truncated frames`() {
         val heartbeat =
             Heartbeat(DataCentre("solin"), 12, load = mapOf(JobClassName("a") to ClassLoad(1, 2)))
-        val frame = PeerCodec.encode(first, 5, 6, heartbeat)
-        expectThat(PeerCodec.decode(frame)).isEqualTo(Decoded.Message(ReceivedMessage(first, 5, 6, heartbeat)))
+        val frame = PeerCodec.encode(FrameHeader(first, 5, 6, 77), heartbeat)
+        expectThat(PeerCodec.decode(frame)).isEqualTo(Decoded.Message(ReceivedMessage(first, 5, 6, heartbeat, 77)))
         frame.indices.forEach { expectThat(PeerCodec.decode(frame.copyOf(it))).isA<Decoded.Malformed>() }
     }
 
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
@@ -15,6 +15,7 @@
 import org.orioleferry.coordination.ownership.OwnershipSettings
 import org.orioleferry.coordination.peer.Heartbeat
 import org.orioleferry.coordination.peer.JobHint
+import org.orioleferry.coordination.peer.LamportClock
 import org.orioleferry.coordination.peer.PeerSettings
 import org.orioleferry.coordination.peer.SocketPeerNetwork
 import org.orioleferry.coordination.store.GuardedTableService
@@ -80,6 +81,7 @@
                 progressDeadlineMs = settings.peers.progressMs,
                 maxFrameBytes = settings.peers.maxFrameBytes,
             ),
+            LamportClock(events::logicalTime, events::observe),
         )
     private val list =
         InstanceListWatcher(
@@ -145,7 +147,7 @@
             RequestPeers(
                 liveInstances = membership::candidates,
                 assigned = { key, candidates -> rendezvousOrder(key, candidates).first() },
-                loads = { membership.members().map { it.heartbeat?.classLoads().orEmpty() } },
+                loads = { membership.members().map { it.classLoads() } },
             ),
         )
     val jobs: JobService =
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/LoadExchange.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/LoadExchange.kt
@@ -1,6 +1,6 @@
 package org.orioleferry.daemon
 
-import org.orioleferry.coordination.peer.Heartbeat
+import org.orioleferry.coordination.membership.Member
 import org.orioleferry.core.model.JobClassName
 import org.orioleferry.core.sharing.ClassLoad
 import org.orioleferry.coordination.peer.ClassLoad as WireClassLoad
@@ -9,6 +9,6 @@
 internal fun Map<JobClassName, ClassLoad>.toWire(): Map<JobClassName, WireClassLoad> =
     filterValues { it.demand > 0 }.mapValues { (_, load) -> WireClassLoad(load.queued, load.running) }
 
-/** Loads of the classes on the sender of a heartbeat. */
-internal fun Heartbeat.classLoads(): Map<JobClassName, ClassLoad> =
+/** Loads of the classes on another instance as it last reported them. */
+internal fun Member.classLoads(): Map<JobClassName, ClassLoad> =
     load.mapValues { (_, load) -> ClassLoad(load.queued, load.running) }
