Give up jobs that stop each other in turns in a replay

Change: a job that was stopped 100 times is taken out and counted, and the count is a row of the comparison with target 0. Conclusion: the fault is in the policy and stays visible in the figures.

--- a/cli/src/main/kotlin/org/orioleferry/cli/ComparisonTable.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/ComparisonTable.kt
@@ -2,6 +2,7 @@
 
 import org.orioleferry.core.replay.GroupMeasures
 import org.orioleferry.core.replay.PolicyMeasures
+import org.orioleferry.core.replay.ReplayEnd
 import org.orioleferry.core.replay.Targets
 import java.util.Locale
 
@@ -40,6 +41,7 @@
         row("jobs done", "") { it.all.done.toDouble() },
         row("stops for other jobs", "") { it.all.stops.toDouble() },
         row("jobs refused as never fitting", "") { it.neverFits.toDouble() },
+        row("jobs stopped ${ReplayEnd.MOST_STOPS} times, given up", "0") { it.stoppedTooOften.toDouble() },
         row("jobs never started", "0") { it.neverStarted.toDouble() },
     )
 }
--- a/core/src/main/kotlin/org/orioleferry/core/replay/DomainReplay.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/replay/DomainReplay.kt
@@ -94,7 +94,11 @@
             state.release(gang.tracked.id)
             gang.tracked.keptMs += (gang.stoppingSinceMs ?: nowMs) - gang.startedMs
             gang.tracked.stops++
-            waiting[gang.tracked.id] = gang.tracked
+            if (gang.tracked.stops < ReplayEnd.MOST_STOPS) {
+                waiting[gang.tracked.id] = gang.tracked
+            } else {
+                results += gang.tracked.toResult(ReplayEnd.STOPPED_TOO_OFTEN, nowMs)
+            }
         }
         val beneficiary = waiting[reclaim.beneficiary] ?: return
         if (!state.hasRoom(reclaim.members)) return
--- a/core/src/main/kotlin/org/orioleferry/core/replay/ReplayResult.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/replay/ReplayResult.kt
@@ -11,8 +11,17 @@
     /** Refused at submission, since it fits on no idle data centre or exceeds its quota. */
     NEVER_FITS,
 
+    /** Taken out of the replay after it was stopped for other jobs [MOST_STOPS] times. */
+    STOPPED_TOO_OFTEN,
+
     /** Still waiting when nothing ran any more. */
     NEVER_STARTED,
+    ;
+
+    public companion object {
+        /** Jobs that stop each other in turns would keep a replay from ending. */
+        public const val MOST_STOPS: Int = 100
+    }
 }
 
 /**
--- a/core/src/test/kotlin/org/orioleferry/core/replay/ReplayTest.kt
+++ b/core/src/test/kotlin/org/orioleferry/core/replay/ReplayTest.kt
@@ -98,6 +98,26 @@
         expectThat(stopped.endedMs).isEqualTo(201_200)
     }
 
+    // Guards against a replay that never ends when two jobs stop each other in turns.
+    @Test
+    fun `jobs that stop each other in turns should be given up and counted`() {
+        val alternating: PlacementPolicy = { fleet, waiting ->
+            val victim = fleet.gangs.singleOrNull { !it.isStopping }
+            val next = waiting.firstOrNull()
+            if (victim != null && next != null && fleet.reclaims.isEmpty()) {
+                PlacementPlan(
+                    emptyList(),
+                    listOf(PlannedReclaim(next.jobId, next.workspace, victim.members, listOf(victim.jobId))),
+                )
+            } else {
+                firstFit(fleet, waiting)
+            }
+        }
+        val long = 100_000_000L
+        val result = ends(listOf(job("a", 0, workMs = long), job("b", 0, workMs = long)), alternating)
+        expectThat(result.map { it.end }).containsExactly(ReplayEnd.STOPPED_TOO_OFTEN, ReplayEnd.DONE)
+    }
+
     // Guards against figures of a plan that no fleet could carry out.
     @Test
     fun `a plan that overbooks a worker should stop the replay`() {
