Add reclaim, operator views, refusals and takeover tests

Cause: borrowers were never stopped, jobs that can never fit waited for ever, operators had no views, and no test crashed an owner. Change: the owner carries out the policy's reclaims and holds the freed accelerators for the beneficiary; a reclaim whose worker stops answering is planned again elsewhere. Owners publish the capacity of their domain, from which every instance refuses jobs that never fit or exceed a quota. Views and routes for jobs, workers, workspaces and late jobs read the table service. An epoch that a worker or the store has refused does not begin another term; before, such an instance claimed all workers again every 50 ms. A trial with the fences at both store and workers switched off found no fault at the same overlaps, so these tests do not yet show that the fences are needed.

--- a/core/src/main/kotlin/org/orioleferry/core/placement/Policies.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/placement/Policies.kt
@@ -2,6 +2,7 @@
 
 import org.orioleferry.core.model.Configuration
 import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.Gang
 import org.orioleferry.core.model.PlacementKind
 
 /** The policy that implements [kind]. */
@@ -24,3 +25,12 @@
     val chosen = specific ?: policies[DEFAULT_POLICY]?.takeIf { it.dataCentres.isEmpty() }
     return chosen?.placement ?: PlacementKind.GUARANTEE_AWARE
 }
+
+/** Whether [gang] fits on [workers] when nothing else runs there. */
+public fun canEverFit(
+    gang: Gang,
+    workers: List<PlacementWorker>,
+): Boolean {
+    val empty = workers.map { it.copy(free = it.accelerators, isUsable = true) }
+    return FreeSpace(empty).find(gang, FitOrder.TIGHTEST) { true } != null
+}
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/Authority.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/Authority.kt
@@ -22,18 +22,23 @@
     private val pollMs: Long,
 ) {
     val fence: Fence = Fence(domain, epoch)
-    private var isDeposed = false
+
+    /** Whether a worker or the store has shown a higher epoch, so that this epoch never owns the domain again. */
+    var isDeposed: Boolean = false
+        private set
 
     /** Ends the term: a worker or the store has shown a higher epoch. */
     fun depose(): Nothing {
         isDeposed = true
-        throw DeposedException("epoch $epoch of $domain is over")
+        end()
     }
 
+    private fun end(): Nothing = throw DeposedException("the term of epoch $epoch of $domain is over")
+
     /** Fails when the term is over; an unconfirmed owner passes, since it still renews leases. */
     fun requireTerm(): Ownership {
         val current = ownership.of(domain)
-        if (isDeposed || current.epoch != epoch || current.state == OwnershipState.NOT_OWNER) depose()
+        if (isDeposed || current.epoch != epoch || current.state == OwnershipState.NOT_OWNER) end()
         return current
     }
 
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/DomainTerm.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/DomainTerm.kt
@@ -12,11 +12,18 @@
 import org.orioleferry.core.gang.StopCause
 import org.orioleferry.core.gang.StopRules
 import org.orioleferry.core.gang.toCancelled
+import org.orioleferry.core.gang.toFailed
+import org.orioleferry.core.guarantee.guaranteeShortfall
 import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobRecord
 import org.orioleferry.core.model.JobState
 import org.orioleferry.core.model.Member
+import org.orioleferry.core.model.WorkspaceName
 import org.orioleferry.core.placement.PlacementMember
+import org.orioleferry.core.placement.PlacementWorker
+import org.orioleferry.core.placement.PlannedReclaim
+import org.orioleferry.core.placement.PlannedStart
+import org.orioleferry.core.placement.canEverFit
 import org.orioleferry.core.placement.placementKindOf
 import org.orioleferry.core.placement.placementPolicyOf
 import org.orioleferry.platform.ReadResult
@@ -40,6 +47,10 @@
     private val fleet =
         Fleet(parts.upstreams, parts.workers, authority, parts.clock, { isOrphan(it.leaseId) }, context.wake)
 
+    private val capacity = CapacityPublisher(tables, authority, fleet)
+    private val reclaims = Reclaims(parts.clock, settings.reclaimGraceMs + RECLAIM_SLACK_MS)
+    private var reported = emptyMap<WorkspaceName, Int>()
+
     init {
         context.fleet = fleet
     }
@@ -51,6 +62,7 @@
             launch { watchOwnership() }
             launch { fleet.keepClaimed(this) }
             launch { readInbox(this@coroutineScope) }
+            launch { watchCapacity(this@coroutineScope) }
             placeForever(this)
         }
 
@@ -139,26 +151,82 @@
     }
 
     private fun cancelWaiting(scope: CoroutineScope) {
-        val cancelled = waiting.values.filter { it.record.cancelRequested }
-        for (held in cancelled) {
-            waiting.remove(held.record.jobId)
-            val wallMs = parts.clock.wallMs()
-            scope.launch {
-                val result = writer.update(held) { it.toCancelled(wallMs) }
-                if (result is WriteResult.Written) context.emit(EventType.JOB_CANCELLED, result.held.record)
-            }
+        val wallMs = parts.clock.wallMs()
+        waiting.values.filter { it.record.cancelRequested }.forEach { held ->
+            end(held, EventType.JOB_CANCELLED, scope) { it.toCancelled(wallMs) }
+        }
+    }
+
+    private fun end(
+        held: HeldJob,
+        type: EventType,
+        scope: CoroutineScope,
+        change: (JobRecord) -> JobRecord,
+    ) {
+        waiting.remove(held.record.jobId)
+        scope.launch {
+            val result = writer.update(held, change)
+            if (result is WriteResult.Written) context.emit(type, result.held.record)
         }
     }
 
     private fun place(scope: CoroutineScope) {
         val configuration = parts.configuration()
         val snapshots = SnapshotBuilder(configuration, authority.domain, fleet, parts.clock)
-        val snapshot = snapshots.fleet(runs.values, history)
+        val before = snapshots.fleet(runs.values, history)
+        reclaims.ready(before.workers) { it in waiting }.forEach { start(it, scope) }
+        val snapshot = snapshots.fleet(runs.values, history, reclaims.plans)
         val policy = placementPolicyOf(configuration.placementKindOf(authority.domain))
         val plan = policy(snapshot, waiting.values.map { snapshots.waiting(it.record) })
-        for (start in plan.starts) {
-            val held = waiting[start.jobId] ?: continue
-            launchRun(GangRun(context, held, leases(held, start.members)), scope)
+        plan.starts.forEach { start(it, scope) }
+        plan.reclaims.forEach(::reclaim)
+    }
+
+    private fun start(
+        planned: PlannedStart,
+        scope: CoroutineScope,
+    ) {
+        val held = waiting[planned.jobId] ?: return
+        launchRun(GangRun(context, held, leases(held, planned.members)), scope)
+    }
+
+    private fun reclaim(planned: PlannedReclaim) {
+        reclaims.add(planned)
+        planned.victims.mapNotNull { runs[it] }.filter { !it.isStopping }.forEach { run ->
+            run.requestStop(StopCause.Preempted(planned.beneficiary.value))
+            context.emit(EventType.JOB_RECLAIMED, run.held.record, mapOf("beneficiary" to planned.beneficiary.value))
+        }
+    }
+
+    /** Publishes the capacity, fails jobs that it can never hold, and reports guarantees that it no longer holds. */
+    private suspend fun watchCapacity(scope: CoroutineScope) {
+        while (true) {
+            capacity.refresh()
+            capacity.complete?.map { it.toPlacementWorker() }?.let { workers -> failNeverFitting(workers, scope) }
+            reportShortfall()
+            delay(settings.inboxPeriodMs)
+        }
+    }
+
+    private fun failNeverFitting(
+        workers: List<PlacementWorker>,
+        scope: CoroutineScope,
+    ) {
+        waiting.values.filter { !canEverFit(it.record.gang, workers) }.forEach { held ->
+            val wallMs = parts.clock.wallMs()
+            end(held, EventType.JOB_FAILED, scope) { it.toFailed(neverFits(it.gang).message, wallMs) }
+        }
+    }
+
+    private fun reportShortfall() {
+        if (!fleet.isComplete) return
+        val snapshots = SnapshotBuilder(parts.configuration(), authority.domain, fleet, parts.clock)
+        val shortfall = guaranteeShortfall(snapshots.fleet(runs.values, history))
+        val fresh = shortfall.filter { (workspace, missing) -> reported[workspace] != missing }
+        reported = shortfall
+        fresh.forEach { (workspace, missing) ->
+            val place = mapOf("dataCentre" to authority.domain.value, "accelerators" to missing.toString())
+            parts.events(EventType.GUARANTEE_SHORTFALL, place + ("workspace" to workspace.value))
         }
     }
 
@@ -174,5 +242,8 @@
 
     private companion object {
         const val FULL_PAGE = 500
+
+        // A renewal and a stop that time out at a worker that does not answer.
+        const val RECLAIM_SLACK_MS = 2_000L
     }
 }
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/GangRun.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/GangRun.kt
@@ -64,7 +64,11 @@
 
     private suspend fun start() {
         val listed = members.map { it.member }
-        val isWritten = write { row -> row.takeIf { !it.cancelRequested }?.toStarting(listed, term.authority.epoch) }
+        val isWritten =
+            write { row ->
+                val isStartable = row.state == JobState.QUEUED && !row.cancelRequested
+                row.takeIf { isStartable }?.toStarting(listed, term.authority.epoch)
+            }
         if (!isWritten) return
         term.emit(EventType.JOB_STARTING, held.record)
         val refusal = each { it.reserve() }.firstNotNullOfOrNull { it }
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobFailures.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobFailures.kt
@@ -2,6 +2,7 @@
 
 import org.orioleferry.core.Failure
 import org.orioleferry.core.FailureCode
+import org.orioleferry.core.model.Gang
 import org.orioleferry.core.model.JobId
 
 private const val STORE_RETRY_MS = 1_000L
@@ -31,3 +32,20 @@
     refusal(FailureCode.KEY_REUSED, "job $jobId exists with another content")
 
 internal fun noFleet(): Failure = refusal(FailureCode.NO_UPSTREAM, "no data centre with workers is known")
+
+internal fun neverFits(gang: Gang): Failure =
+    refusal(
+        FailureCode.NEVER_FITS,
+        "the data centre can never hold ${gang.members} members of ${gang.acceleratorsPerMember} accelerators " +
+            "with adjacency ${gang.adjacency.name.lowercase()}",
+    )
+
+internal fun aboveQuota(
+    gang: Gang,
+    quota: Int,
+): Failure =
+    refusal(
+        FailureCode.QUOTA,
+        "the job needs ${gang.accelerators} accelerators and the workspace's quota is $quota",
+        mapOf("quota" to quota.toString()),
+    )
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobIntake.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobIntake.kt
@@ -8,6 +8,7 @@
 import org.orioleferry.core.model.DataCentre
 import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobRecord
+import org.orioleferry.core.placement.canEverFit
 import org.orioleferry.platform.CommitResult
 import org.orioleferry.platform.ReadResult
 import org.orioleferry.platform.TableOperation
@@ -20,7 +21,11 @@
 
     suspend fun submit(submission: JobSubmission): Outcome<JobRecord> {
         invalid(submission)?.let { return Outcome.Failed(it) }
-        val domain = submission.dataCentre ?: choose() ?: return Outcome.Failed(noFleet())
+        val domain =
+            when (val chosen = placeOf(submission)) {
+                is Outcome.Failed -> return chosen
+                is Outcome.Success -> chosen.value
+            }
         val record = submission.toRecord(JobId.of(domain, submission.suffix ?: parts.newSuffix()), parts.clock.wallMs())
         val accepted = commitNew(record)
         if (accepted is Outcome.Success) {
@@ -103,11 +108,66 @@
         }
     }
 
-    private fun choose(): DataCentre? =
-        parts.upstreams
-            .snapshot()
-            .firstOrNull()
-            ?.dataCentre
+    /** The data centre of the job: the given one, the one that has the suffix already, or one that can hold the gang. */
+    private suspend fun placeOf(submission: JobSubmission): Outcome<DataCentre> {
+        val given = submission.dataCentre
+        val known = (parts.upstreams.snapshot().map { it.dataCentre }).distinct().sortedBy { it.value }
+        val candidates = if (given != null) listOf(given) else known
+        if (candidates.isEmpty()) return Outcome.Failed(noFleet())
+        for (domain in candidates) {
+            val suffix = submission.suffix ?: break
+            val read = tables.readJob(JobId.of(domain, suffix))
+            if (read !is ReadResult.Found) return Outcome.Failed(storeUnavailable(isNotRun = true))
+            if (read.value != null) return Outcome.Success(domain)
+        }
+        return chooseFrom(preferred(candidates, submission), submission)
+    }
+
+    private suspend fun chooseFrom(
+        candidates: List<DataCentre>,
+        submission: JobSubmission,
+    ): Outcome<DataCentre> {
+        var refusal = neverFits(submission.gang)
+        for (domain in candidates) {
+            val quota = quotaOf(submission, domain)
+            val read = tables.readCapacity(domain)
+            if (read !is ReadResult.Found) return Outcome.Failed(storeUnavailable(isNotRun = true))
+            val workers = read.value?.workers?.map { it.toPlacementWorker() }
+            when {
+                quota != null && submission.gang.accelerators > quota -> refusal = aboveQuota(submission.gang, quota)
+                workers == null || canEverFit(submission.gang, workers) -> return Outcome.Success(domain)
+            }
+        }
+        return Outcome.Failed(refusal)
+    }
+
+    /** Data centres where the workspace has a guarantee first; the rest by a hash, so that a repeat chooses the same. */
+    private fun preferred(
+        candidates: List<DataCentre>,
+        submission: JobSubmission,
+    ): List<DataCentre> {
+        val guarantees =
+            parts
+                .configuration()
+                .workspaces[submission.workspace]
+                ?.guarantees
+                .orEmpty()
+        val seed = submission.suffix ?: parts.newSuffix()
+        return candidates.sortedWith(
+            compareBy({ domain -> guarantees.none { it.dataCentre == domain } }, { "$seed/$it".hashCode() }),
+        )
+    }
+
+    private fun quotaOf(
+        submission: JobSubmission,
+        domain: DataCentre,
+    ): Int? =
+        parts
+            .configuration()
+            .workspaces[submission.workspace]
+            ?.quotas
+            ?.find { it.dataCentre == domain }
+            ?.accelerators
 
     private fun attributes(record: JobRecord) =
         mapOf("job" to record.jobId.value, "workspace" to record.workspace.value)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobReports.kt
@@ -0,0 +1,164 @@
+package org.orioleferry.daemon.jobs
+
+import org.orioleferry.coordination.upstream.UpstreamState
+import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.JobList
+import org.orioleferry.core.api.LateItem
+import org.orioleferry.core.api.LateList
+import org.orioleferry.core.api.WorkerList
+import org.orioleferry.core.api.WorkerView
+import org.orioleferry.core.api.WorkspaceList
+import org.orioleferry.core.api.WorkspaceView
+import org.orioleferry.core.map
+import org.orioleferry.core.model.DataCentre
+import org.orioleferry.core.model.JobRecord
+import org.orioleferry.core.model.JobState
+import org.orioleferry.core.model.Workspace
+import org.orioleferry.core.model.WorkspaceName
+import org.orioleferry.core.placement.PlacementWorker
+import org.orioleferry.platform.ReadResult
+
+/** Views for operators, read from the table service so that every instance gives the same answer. */
+internal class JobReports(
+    private val parts: JobParts,
+) {
+    private val domains: List<DataCentre>
+        get() =
+            parts.upstreams
+                .snapshot()
+                .map { it.dataCentre }
+                .distinct()
+
+    suspend fun list(
+        workspace: WorkspaceName?,
+        state: JobState?,
+    ): Outcome<JobList> {
+        val prefixes =
+            domains.flatMap { domain ->
+                listOf(JobRows.livePrefix(domain)).filter { state?.isFinal != true } +
+                    listOf(JobRows.endedPrefix(domain)).filter { state?.isFinal != false }
+            }
+        return scan(prefixes).map { jobs ->
+            JobList(
+                jobs.filter {
+                    (workspace == null || it.workspace == workspace) &&
+                        (state == null || it.state == state)
+                },
+            )
+        }
+    }
+
+    suspend fun workspaces(): Outcome<WorkspaceList> =
+        live().map { jobs ->
+            val running = jobs.filter { it.members.isNotEmpty() }.groupBy { it.workspace }
+            WorkspaceList(
+                parts
+                    .configuration()
+                    .workspaces.values
+                    .map { view(it, running[it.name].orEmpty()) },
+            )
+        }
+
+    /** Borrowed is what the workspace uses in a data centre beyond the accelerators guaranteed to it there. */
+    private fun view(
+        workspace: Workspace,
+        running: List<JobRecord>,
+    ): WorkspaceView {
+        val guaranteed =
+            workspace.guarantees.groupBy { it.dataCentre }.mapValues {
+                it.value.sumOf { g ->
+                    g.count *
+                        g.accelerators
+                }
+            }
+        val byPlace = running.groupBy { it.jobId.dataCentre }
+        val borrowed = byPlace.mapValues { (place, jobs) -> (used(jobs) - (guaranteed[place] ?: 0)).coerceAtLeast(0) }
+        val reclaimable =
+            byPlace.map { (place, jobs) ->
+                minOf(used(jobs.filter(::isPreemptible)), borrowed.getValue(place))
+            }
+        return WorkspaceView(
+            name = workspace.name,
+            guarantees = workspace.guarantees,
+            guaranteed = guaranteed.values.sum(),
+            used = used(running),
+            borrowed = borrowed.values.sum(),
+            reclaimable = reclaimable.sum(),
+        )
+    }
+
+    private fun used(jobs: List<JobRecord>): Int = jobs.sumOf { job -> job.members.sumOf { it.accelerators } }
+
+    private fun isPreemptible(job: JobRecord): Boolean =
+        parts.configuration().classes[job.jobClass]?.preemptible ?: false
+
+    suspend fun workers(): Outcome<WorkerList> {
+        val sizes = mutableMapOf<String, WorkerCapacity>()
+        for (domain in domains) {
+            val read = parts.tables.readCapacity(domain) as? ReadResult.Found
+            if (read == null) return Outcome.Failed(storeUnavailable())
+            read.value?.workers?.forEach { sizes[it.id.value] = it }
+        }
+        return live().map { jobs ->
+            val held = jobs.flatMap { it.members }.groupBy { it.worker }
+            WorkerList(
+                parts.upstreams.snapshot().map { upstream ->
+                    val size = sizes[upstream.id.value]
+                    WorkerView(
+                        id = upstream.id,
+                        dataCentre = upstream.dataCentre,
+                        rack = upstream.rack,
+                        state = upstream.state.name.lowercase(),
+                        accelerators = size?.accelerators ?: 0,
+                        acceleratorsInUse = held[upstream.id].orEmpty().sumOf { it.accelerators },
+                        slots = size?.slots ?: 0,
+                        slotsInUse = 0,
+                    )
+                },
+            )
+        }
+    }
+
+    suspend fun late(): Outcome<LateList> {
+        val nowMs = parts.clock.wallMs()
+        return scan(domains.flatMap { listOf(JobRows.livePrefix(it), JobRows.endedPrefix(it)) }).map { jobs ->
+            LateList(jobs.mapNotNull { item(it, nowMs) }.sortedByDescending { it.lateMs })
+        }
+    }
+
+    private fun item(
+        job: JobRecord,
+        nowMs: Long,
+    ): LateItem? {
+        val expectedMs = (job.startedWallMs ?: job.submittedWallMs) + job.declaredRunMs
+        val lateMs = ((job.endedWallMs ?: nowMs) - expectedMs).coerceAtLeast(0)
+        val isListed = job.state == JobState.FAILED || (!job.state.isFinal && lateMs > 0)
+        return LateItem("job", job.jobId.value, job.workspace, job.state.name.lowercase(), lateMs, job.reason)
+            .takeIf { isListed }
+    }
+
+    suspend fun fleets(): Outcome<Map<DataCentre, List<PlacementWorker>>> {
+        val states = parts.upstreams.snapshot().associate { it.id to it.state }
+        val fleets = mutableMapOf<DataCentre, List<PlacementWorker>>()
+        for (domain in domains) {
+            val read = parts.tables.readCapacity(domain) as? ReadResult.Found
+            if (read == null) return Outcome.Failed(storeUnavailable())
+            val workers = read.value?.workers?.filter { states[it.id] == UpstreamState.LIVE } ?: continue
+            fleets[domain] = workers.map { it.toPlacementWorker() }
+        }
+        return Outcome.Success(fleets)
+    }
+
+    private suspend fun live(): Outcome<List<JobRecord>> = scan(domains.map { JobRows.livePrefix(it) })
+
+    private suspend fun scan(prefixes: List<String>): Outcome<List<JobRecord>> {
+        val all = mutableListOf<JobRecord>()
+        for (prefix in prefixes) {
+            when (val result = parts.tables.scanJobs(prefix)) {
+                is ReadResult.Unavailable -> return Outcome.Failed(storeUnavailable())
+                is ReadResult.Found -> all += result.value.map { it.record }
+            }
+        }
+        return Outcome.Success(all)
+    }
+}
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobService.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobService.kt
@@ -7,10 +7,17 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.JobList
 import org.orioleferry.core.api.JobSubmission
+import org.orioleferry.core.api.LateList
+import org.orioleferry.core.api.WorkerList
+import org.orioleferry.core.api.WorkspaceList
 import org.orioleferry.core.model.DataCentre
 import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobRecord
+import org.orioleferry.core.model.JobState
+import org.orioleferry.core.model.WorkspaceName
+import org.orioleferry.core.placement.PlacementWorker
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.coroutines.ContinuationInterceptor
 
@@ -19,6 +26,7 @@
     private val parts: JobParts,
 ) {
     private val intake = JobIntake(parts)
+    private val reports = JobReports(parts)
     private val controllers = ConcurrentHashMap<DataCentre, DomainController>()
 
     /** Commits the job as queued and returns its row. A failure with `isNotRun` left no row. */
@@ -30,6 +38,24 @@
     /** Asks the owner to cancel the job, and returns the row. A job that has ended stays as it is. */
     public suspend fun cancel(jobId: JobId): Outcome<JobRecord> = intake.cancel(jobId)
 
+    /** Jobs of [workspace] in [state], or all when null; ended ones only when [state] is final or null. */
+    public suspend fun list(
+        workspace: WorkspaceName? = null,
+        state: JobState? = null,
+    ): Outcome<JobList> = reports.list(workspace, state)
+
+    /** Guaranteed, used, borrowed and reclaimable accelerators of every workspace. */
+    public suspend fun workspaces(): Outcome<WorkspaceList> = reports.workspaces()
+
+    /** All known workers with the accelerators that jobs hold. */
+    public suspend fun workers(): Outcome<WorkerList> = reports.workers()
+
+    /** Jobs past their expected end, and jobs that failed. */
+    public suspend fun late(): Outcome<LateList> = reports.late()
+
+    /** Live workers of every data centre whose owner has published them, for the check of release notes. */
+    public suspend fun fleets(): Outcome<Map<DataCentre, List<PlacementWorker>>> = reports.fleets()
+
     /** Makes the owner look at [jobId] at once, when this instance owns its domain. */
     @Suppress("RedundantSuspendModifier")
     public suspend fun onHint(jobId: JobId) {
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/jobs/JobWorld.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/jobs/JobWorld.kt
@@ -27,11 +27,16 @@
 import org.orioleferry.core.model.Guarantee
 import org.orioleferry.core.model.JobClass
 import org.orioleferry.core.model.JobClassName
+import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobRecord
 import org.orioleferry.core.model.WorkerId
 import org.orioleferry.core.model.Workspace
 import org.orioleferry.core.model.WorkspaceName
+import org.orioleferry.platform.Fence
+import org.orioleferry.platform.ReadResult
 import org.orioleferry.platform.TableOperation
+import org.orioleferry.platform.TableService
+import org.orioleferry.platform.WorkerClient
 import org.orioleferry.standins.AnswerFault
 import org.orioleferry.standins.CallFault
 import org.orioleferry.standins.FunctionClock
@@ -46,8 +51,10 @@
 internal val domain = DataCentre("kalamata-a")
 internal val sheds = WorkspaceName("sheds")
 internal val audit = WorkspaceName("audit")
+internal val refills = WorkspaceName("refills")
 internal val urgentClass = JobClassName("urgent")
 internal val routineClass = JobClassName("routine")
+internal val urgentOnceClass = JobClassName("urgent-once")
 internal val onceClass = JobClassName("once")
 
 /** One data centre in virtual time: a store, workers, and any number of instances that compete for it. */
@@ -65,7 +72,14 @@
     val evidence = mutableListOf<Pair<WorkerId, UpstreamEvidence>>()
     val events = mutableListOf<Triple<Long, EventType, Map<String, String>>>()
     var hintsArrive = true
-    val tables = InMemoryTableService { operations -> storeFault(operations) }
+    var frozen: WorkerId? = null
+
+    /** Whether workers refuse former owners; switched off to show what that prevents. */
+    var hasWorkerFence = true
+    val store = InMemoryTableService { operations -> storeFault(operations) }
+
+    /** The store as instances see it; a test replaces it to switch a protection off. */
+    var tables: TableService = store
     val workers =
         List(workerCount) { index ->
             val specification = WorkerSpecification(WorkerId("w%02d".format(index)), domain, "rack-${index / 6}")
@@ -73,12 +87,13 @@
         }
     var configuration =
         Configuration(
-            workspaces = listOf(Workspace(sheds), Workspace(audit)).associateBy { it.name },
+            workspaces = listOf(Workspace(sheds), Workspace(audit), Workspace(refills)).associateBy { it.name },
             classes =
                 listOf(
                     JobClass(urgentClass, urgency = 0, preemptible = false),
                     JobClass(routineClass, urgency = 7),
                     JobClass(onceClass, idempotent = false),
+                    JobClass(urgentOnceClass, urgency = 0, preemptible = false, idempotent = false),
                 ).associateBy { it.name },
         )
     val instances = mutableListOf<Instance>()
@@ -99,10 +114,10 @@
         val fence = TableOperation(OwnershipView.TABLE, OwnershipView.fenceKey(domain), null, "$epoch")
         val saved = storeFault
         storeFault = { StoreFault.NONE }
-        tables.commit(listOf(fence))
-        val row = tables.read(OwnershipView.TABLE, OwnershipView.fenceKey(domain))
+        store.commit(listOf(fence))
+        val row = store.read(OwnershipView.TABLE, OwnershipView.fenceKey(domain))
         storeFault = saved
-        val version = (row as org.orioleferry.platform.ReadResult.Found).value!!.version
+        val version = (row as ReadResult.Found).value!!.version
         return Instance(Ownership(domain, OwnershipState.OWNER, epoch, version)).also { instances += it }
     }
 
@@ -111,7 +126,6 @@
     ) {
         private val scope = CoroutineScope(test.coroutineContext + SupervisorJob(test.coroutineContext[Job]))
         private var suffixes = 0
-        var pauseUntilMs = 0L
         val service: JobService =
             JobService(
                 JobParts(
@@ -153,7 +167,12 @@
             }
         }
 
-    private fun client(baseUrl: String) =
+    private fun client(baseUrl: String): WorkerClient {
+        val client = plainClient(baseUrl)
+        return if (hasWorkerFence) client else UnfencedClient(client)
+    }
+
+    private fun plainClient(baseUrl: String) =
         InProcessWorkerClient(
             workers.first { it.id == baseUrl },
             scope = test.backgroundScope,
@@ -167,6 +186,16 @@
         adjacency: Adjacency = Adjacency.DATA_CENTRE,
     ): Gang = Gang(members, accelerators, adjacency)
 
+    suspend fun submitOrNull(
+        gang: Gang,
+        workMs: Long,
+        jobClass: JobClassName,
+        workspace: WorkspaceName,
+    ): JobRecord? {
+        val submission = JobSubmission(workspace, "clerk", jobClass, gang, workMs, workMs, domain)
+        return (instances.last().service.submit(submission) as? Outcome.Success)?.value
+    }
+
     suspend fun submit(
         gang: Gang,
         workMs: Long,
@@ -183,3 +212,43 @@
     /** Ends all instances, so that the test's scope can finish. */
     fun close() = instances.forEach { it.kill() }
 }
+
+/** Sends every command with the same epoch, so that a worker cannot tell a former owner. */
+private class UnfencedClient(
+    private val client: WorkerClient,
+) : WorkerClient by client {
+    private val same = Fence(domain, Epoch(1))
+
+    override suspend fun claim(fence: Fence) = client.claim(same)
+
+    override suspend fun reserve(
+        fence: Fence,
+        leaseId: String,
+        jobId: JobId,
+        attempt: Int,
+        accelerators: Int,
+        ttlMs: Long,
+    ) = client.reserve(same, leaseId, jobId, attempt, accelerators, ttlMs)
+
+    override suspend fun start(
+        fence: Fence,
+        leaseId: String,
+        workMs: Long,
+    ) = client.start(same, leaseId, workMs)
+
+    override suspend fun renew(
+        fence: Fence,
+        leaseId: String,
+        ttlMs: Long,
+    ) = client.renew(same, leaseId, ttlMs)
+
+    override suspend fun checkpoint(
+        fence: Fence,
+        leaseId: String,
+    ) = client.checkpoint(same, leaseId)
+
+    override suspend fun stop(
+        fence: Fence,
+        leaseId: String,
+    ) = client.stop(same, leaseId)
+}
