--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RequestWorld.kt
@@ -25,6 +25,7 @@
 import org.orioleferry.core.model.Workspace
 import org.orioleferry.core.model.WorkspaceName
 import org.orioleferry.platform.Execution
+import org.orioleferry.platform.SealResult
 import org.orioleferry.platform.TableOperation
 import org.orioleferry.platform.TableService
 import org.orioleferry.platform.WorkerClient
@@ -58,6 +59,10 @@
 ) {
     private val clock = FunctionClock { test.testScheduler.currentTime }
     private var requestIds = 0
+    private val services = mutableMapOf<String, RequestService>()
+
+    /** Whether instances tell each other what waits and runs in each class. */
+    var exchangesLoads = true
     var storeFault: suspend (List<TableOperation>) -> StoreFault = { StoreFault.NONE }
     var beforeEffect: CallFaultHook = { CallFault.NONE }
     var afterEffect: AnswerFaultHook = { AnswerFault.NONE }
@@ -90,15 +95,26 @@
                 clock,
                 { _, _ -> },
                 settings,
-                RequestPeers({ live.toSet() }, { key, candidates -> candidates.maxBy { (key + it).hashCode() } }),
+                RequestPeers({ live.toSet() }, { loadsOfOthers(name) }) { key, candidates ->
+                    candidates.maxBy {
+                        (
+                            key +
+                                it
+                        ).hashCode()
+                    }
+                },
                 { "$name-${requestIds++}" },
                 Random(seed + name.hashCode()),
             )
+        services[name] = service
         return TestInstance(service, settings.instance, this, test.backgroundScope)
     }
 
     fun executions(): List<Execution> = workers.values.flatMap { it.executions() }
 
+    private fun loadsOfOthers(name: String) =
+        if (exchangesLoads) services.filterKeys { it != name }.values.map { it.classLoads() } else emptyList()
+
     private fun clientFor(url: String): WorkerClient =
         InProcessWorkerClient(
             workers.getValue(WorkerId(url)),
@@ -224,3 +240,10 @@
         if (coversKey && executions().any { it.key == key }) problems += "false not run for $key: $failure"
     }
 }
+
+/** Says that a request never ran, without making sure that it does not start later. */
+internal class SealWithoutEffect(
+    private val client: WorkerClient,
+) : WorkerClient by client {
+    override suspend fun seal(requestId: String): SealResult = SealResult.NeverRun
+}
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/ResolverTest.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/ResolverTest.kt
@@ -8,7 +8,6 @@
 import org.junit.jupiter.api.Test
 import org.orioleferry.core.FailureCode
 import org.orioleferry.core.Outcome
-import org.orioleferry.platform.SealResult
 import org.orioleferry.platform.WorkerClient
 import org.orioleferry.standins.AnswerFault
 import org.orioleferry.standins.CallFault
@@ -46,8 +45,10 @@
             val instance = world.instance()
             val first = instance.call(credit("k1")).await().failure
             expectThat(first.code).isEqualTo(FailureCode.OUTCOME_UNKNOWN)
+            expectThat(instance.service.unknownOutcomes().map { it.reason }).isEqualTo(listOf("key k1"))
             isCut = false
             delay(10_000)
+            expectThat(instance.service.unknownOutcomes()).isEmpty()
             val status = instance.service.lookUp(SHEDS, "k1") as Outcome.Success
             expectThat(status.value.state).isEqualTo("done")
             instance.call(credit("k1")).await().answer
@@ -174,13 +175,6 @@
         return isDead
     }
 
-    /** Says that a request never ran, without making sure that it does not start later. */
-    private class SealWithoutEffect(
-        private val client: WorkerClient,
-    ) : WorkerClient by client {
-        override suspend fun seal(requestId: String): SealResult = SealResult.NeverRun
-    }
-
     private companion object {
         /** Before and after each of the two writes, before and after the first byte, and before the answer. */
         const val STEPS = 7
