Claim "not run" for the key only when the row says so

When the write of `refused` was not confirmed, the refusal still had the scope `key`. Another instance may have resolved the row and run a later call with the same key by then, so the statement was false for the key, although it was true for the call. The scope is `call` in this case. The loop of random faults now prints each problem with its seed.

--- a/daemon/src/main/kotlin/org/orioleferry/daemon/requests/KeyFilter.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/requests/KeyFilter.kt
@@ -77,8 +77,9 @@
             is WriteResult.Written -> RequestResult.Refused(failure.withScope(SCOPE_KEY))
             is WriteResult.Conflict -> write.row?.let(RequestResult::Existing) ?: RequestResult.Refused(failure)
             WriteResult.Unavailable, WriteResult.Unknown -> {
+                // Another instance may have resolved the row and run a later call with the key in the meantime.
                 resolver.offer(context.rowKey, held.record.requestId, isUnsent = true)
-                RequestResult.Refused(failure.withScope(SCOPE_KEY))
+                RequestResult.Refused(failure.withScope(SCOPE_CALL))
             }
         }
     }
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RandomFaultsTest.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/requests/RandomFaultsTest.kt
@@ -66,6 +66,7 @@
             val round = FaultRound(this, world, Random(seed))
             round.play()
             problems = round.settle()
+            problems.forEach { println("seed $seed: $it") }
             executed += world.executions().size
             unknown += world.checker.unknown
         }
