--- a/core/src/main/kotlin/org/orioleferry/core/guarantee/ReclaimPlanner.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/guarantee/ReclaimPlanner.kt
@@ -31,13 +31,9 @@
     private val space: FreeSpace,
     private val steps: StepCounter,
 ) {
-    private val workers = fleet.workers.filter { it.isUsable }.map { it.id }
-    private val racks =
-        fleet.workers
-            .filter { it.isUsable }
-            .groupBy { it.rack }
-            .values
-            .map { all -> all.map { it.id } }
+    private val usable = fleet.workers.filter { it.isUsable }
+    private val rackOf = usable.associate { it.id to it.rack }
+    private val racks = usable.groupBy({ it.rack }, { it.id })
     private val gangsAt = HashMap<WorkerId, MutableList<PlacedGang>>()
     private val taken = HashSet<JobId>()
 
@@ -58,6 +54,10 @@
         settle(fleet.reclaims.flatMap { it.members }) { free[it] ?: 0 }
     }
 
+    /** Usable workers, the one whose first gang loses least in front. */
+    private val cheapest =
+        usable.map { it.id }.sortedWith(compareBy({ gangsAt[it]?.first()?.lostWorkMs ?: 0L }, { it.value }))
+
     private fun expect(gang: PlacedGang) {
         gang.members.forEach { pending.merge(it.worker, it.accelerators, Int::plus) }
     }
@@ -75,19 +75,23 @@
     /**
      * Plans a reclaim for [job], or returns null.
      *
+     * @param near workers that are looked at in any case, besides the ones with the least work to lose.
      * @param allowance accelerators of a worker that the job may use once their present users are stopped.
      * @param isVictim whether a gang may be stopped for the job.
      */
     fun plan(
         job: WaitingJob,
+        near: Collection<WorkerId>,
         allowance: (WorkerId) -> Int,
         isVictim: (PlacedGang) -> Boolean,
     ): PlannedReclaim? {
+        val count = maxOf(LEAST_CANDIDATES, job.gang.members * CANDIDATES_PER_MEMBER)
+        val candidates = (near + cheapest.take(count)).distinct()
         val groups =
             when (job.gang.adjacency) {
-                Adjacency.WORKER -> workers.map(::listOf)
-                Adjacency.RACK -> racks
-                Adjacency.DATA_CENTRE -> listOf(workers)
+                Adjacency.WORKER -> candidates.map(::listOf)
+                Adjacency.RACK -> candidates.mapNotNull { rackOf[it] }.distinct().map { racks.getValue(it) }
+                Adjacency.DATA_CENTRE -> listOf(candidates)
             }
         val chosen =
             groups
@@ -178,4 +182,10 @@
     }
 
     private fun PlacedGang.at(worker: WorkerId): Int = members.filter { it.worker == worker }.sumOf { it.accelerators }
+
+    private companion object {
+        // A reclaim that looked at every worker of a large fleet would make the cost of a pass quadratic.
+        const val LEAST_CANDIDATES = 64
+        const val CANDIDATES_PER_MEMBER = 2
+    }
 }
--- a/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
@@ -150,9 +150,8 @@
             val held = own[worker] ?: if (worker in equal) job.gang.accelerators else 0
             held + ledger.spare.free(worker) / size * size
         }
-        return stopFor(job, { members -> if (members.all { it.worker in equal }) members else target }, allowance) {
-            !ledger.isCovered(it.jobId)
-        }
+        val used = { members: List<PlacementMember> -> if (members.all { it.worker in equal }) members else target }
+        return stopFor(job, own.keys + equal, used, allowance) { !ledger.isCovered(it.jobId) }
     }
 
     /** Workers that hold a block of one part which is exactly as large as the one that [target] would use. */
@@ -171,16 +170,17 @@
         val isRoutine = { gang: PlacedGang ->
             !ledger.isCovered(gang.jobId) && gang.urgency >= job.urgency + URGENCY_GAP
         }
-        return stopFor(job, { emptyList() }, ledger.spare::free, isRoutine)
+        return stopFor(job, emptyList(), { emptyList() }, ledger.spare::free, isRoutine)
     }
 
     private fun stopFor(
         job: WaitingJob,
+        near: Collection<WorkerId>,
         target: (List<PlacementMember>) -> List<PlacementMember>,
         allowance: (WorkerId) -> Int,
         isVictim: (PlacedGang) -> Boolean,
     ): Boolean {
-        val reclaim = planner.plan(job, allowance, isVictim) ?: return false
+        val reclaim = planner.plan(job, near, allowance, isVictim) ?: return false
         ledger.occupy(job.workspace, job.jobId, target(reclaim.members), reclaim.members)
         if (reclaim.victims.isEmpty()) pass.start(job, reclaim.members) else pass.reclaim(job, reclaim)
         return true
@@ -190,7 +190,7 @@
     private fun reserve(job: WaitingJob): Boolean {
         if (reservation != null) return false
         val isOverrun = { gang: PlacedGang -> !ledger.isCovered(gang.jobId) && estimates.hasOverrun(gang) }
-        if (stopFor(job, { emptyList() }, ledger.spare::free, isOverrun)) return true
+        if (stopFor(job, emptyList(), { emptyList() }, ledger.spare::free, isOverrun)) return true
         reservation = ReservationPlanner(fleet, pass.space, pass.steps).reserve(job)
         return false
     }
