--- a/bench/src/main/kotlin/org/orioleferry/bench/demo/DemoRun.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/demo/DemoRun.kt
@@ -79,7 +79,7 @@
         submission: JobSubmission,
         title: String,
     ): Boolean {
-        val job = jobs.submit(submission) ?: return failed("$title was not accepted")
+        val job = jobs.submit(submission) ?: return failed("$title was not accepted: ${jobs.lastRefusal}")
         val record = jobs.await(job, JOB_LIMIT_MS) { it.isFinal }
         val workers = record?.members.orEmpty().map { it.worker }
         print("$title: ${record?.state} on $workers")
--- a/bench/src/main/kotlin/org/orioleferry/bench/load/JobLedger.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/load/JobLedger.kt
@@ -13,10 +13,17 @@
 ) {
     private val accepted = ConcurrentLinkedQueue<JobId>()
 
+    /** The latest answer to a submission that was not accepted. */
+    @Volatile
+    var lastRefusal: CallResult<JobRecord>? = null
+        private set
+
     /** Identifier of the accepted job, or null when it was refused; the suffix makes a repeat safe. */
     suspend fun submit(submission: JobSubmission): JobId? {
         repeat(MAX_TRIES) {
-            when (val result = client.submit(submission)) {
+            val result = client.submit(submission)
+            if (result !is CallResult.Answered) lastRefusal = result
+            when (result) {
                 is CallResult.Answered -> return result.value.jobId.also(accepted::add)
                 is CallResult.Refused -> if (result.error.code !in RETRIED) return null
                 is CallResult.Broken -> Unit
@@ -65,6 +72,6 @@
         const val MAX_TRIES = 40
         const val PAUSE_MS = 250L
         const val POLL_MS = 20L
-        val RETRIED = setOf("STORE_UNAVAILABLE", "OUTCOME_UNKNOWN", "DRAINING", "INTERNAL")
+        val RETRIED = setOf("STORE_UNAVAILABLE", "OUTCOME_UNKNOWN", "DRAINING", "NO_UPSTREAM")
     }
 }
