Measure the Java engine of Ktor and record why HttpLink keeps CIO

Cause: a call costs 1.3 to 2.1 ms of processor time with CIO, while a node may spend 2.6% of a core on control; the Java engine of Ktor had not been measured. HttpLink is unchanged. Conclusion: not adopted.

--- a/stand-ins/src/main/kotlin/org/orioleferry/standins/measure/ClientEngines.kt
+++ b/stand-ins/src/main/kotlin/org/orioleferry/standins/measure/ClientEngines.kt
@@ -3,21 +3,30 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.int
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.orioleferry.platform.WorkerRequest
+import java.io.File
 import java.lang.management.ManagementFactory
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Sends one request to a worker and returns whether its own whole answer arrived. */
 internal typealias SendRequest = suspend (WorkerRequest) -> Boolean
 
-/** Figures of one run. Latencies are in microseconds; [cpuMicros] is processor time of this process per request. */
+/**
+ * Figures of one run. Latencies are in microseconds.
+ *
+ * @property cpuMicros processor time of this process per request, in microseconds.
+ * @property residentKiB resident memory of this process after the run in KiB, or -1 where the system does not tell. It
+ *   covers every engine that the process has run so far.
+ */
 internal data class EngineFigures(
     val engine: String,
     val concurrency: Int,
@@ -27,10 +36,11 @@
     val p99Micros: Long,
     val cpuMicros: Long,
     val threads: Int,
+    val residentKiB: Long,
 ) {
     override fun toString(): String =
         "$engine concurrency=$concurrency failures=$failures requestsPerSecond=$requestsPerSecond " +
-            "p50us=$p50Micros p99us=$p99Micros cpuUs=$cpuMicros threads=$threads"
+            "p50us=$p50Micros p99us=$p99Micros cpuUs=$cpuMicros threads=$threads residentKiB=$residentKiB"
 }
 
 /** Compares HTTP client engines against one worker. Every request has no work, so that the client's cost shows. */
@@ -39,18 +49,20 @@
     private val requests by option(help = "requests of one run").int().default(20_000)
     private val rounds by option(help = "rounds; the engines take turns in each").int().default(3)
 
+    private val engines by option("--engine", help = "engine to measure; repeatable; default: every engine")
+        .choice(*engineVariants.keys.toTypedArray())
+        .multiple()
+
     // More callers than this would be refused as busy by a worker with 64 slots.
     private val concurrency by option(help = "callers at a time").int().default(16)
 
     override fun run() {
+        allowConnectionHeader()
         runBlocking(Dispatchers.Default) {
-            engineVariants(worker).forEach { (name, variant) ->
-                variant.use { measure("$name warm-up", it.send) }
-            }
+            val variants = engines.ifEmpty { engineVariants.keys }.associateWith { engineVariants.getValue(it) }
+            variants.forEach { (name, open) -> open(worker).use { measure("$name warm-up", it.send) } }
             repeat(rounds) {
-                engineVariants(worker).forEach { (name, variant) ->
-                    variant.use { println(measure(name, it.send)) }
-                }
+                variants.forEach { (name, open) -> open(worker).use { println(measure(name, it.send)) } }
             }
         }
     }
@@ -89,6 +101,7 @@
             p99Micros = latencies[requests / 100 * 99] / NANOS_PER_MICRO,
             cpuMicros = cpu / requests / NANOS_PER_MICRO,
             threads = ManagementFactory.getThreadMXBean().threadCount,
+            residentKiB = residentKiB(),
         )
     }
 
@@ -101,6 +114,12 @@
     private fun processCpuNanos(): Long =
         (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
 
+    private fun residentKiB(): Long {
+        val status = File("/proc/self/status").takeIf { it.canRead() } ?: return -1
+        val line = status.readLines().find { it.startsWith("VmRSS:") } ?: return -1
+        return line.filter { it.isDigit() }.toLong()
+    }
+
     private companion object {
         const val NANOS_PER_SECOND = 1_000_000_000L
         const val NANOS_PER_MICRO = 1_000L
--- a/stand-ins/src/main/kotlin/org/orioleferry/standins/measure/EngineVariant.kt
+++ b/stand-ins/src/main/kotlin/org/orioleferry/standins/measure/EngineVariant.kt
@@ -2,12 +2,15 @@
 
 import io.ktor.client.HttpClient
 import io.ktor.client.HttpClientConfig
+import io.ktor.client.engine.HttpClientEngineConfig
+import io.ktor.client.engine.HttpClientEngineFactory
 import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.CIOEngineConfig
+import io.ktor.client.engine.java.Java
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.content.TextContent
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.future.await
@@ -19,6 +22,7 @@
 import org.orioleferry.platform.http.HttpWorkerClient
 import org.orioleferry.standins.http.wireJson
 import java.net.URI
+import java.net.http.HttpClient.Version
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse.BodyHandlers
 
@@ -30,13 +34,14 @@
     override fun close(): Unit = onClose()
 }
 
-/** Opens a client of each kind for the worker at [baseUrl]. Each is closed by the caller. */
-internal fun engineVariants(baseUrl: String): Map<String, EngineVariant> =
+/** Opens a client for the worker at a base URL, by the name of its kind. Each client is closed by the caller. */
+internal val engineVariants: Map<String, (String) -> EngineVariant> =
     mapOf(
-        "http-link" to httpLink(baseUrl),
-        "cio-default-dispatcher" to cio(baseUrl) { engine { dispatcher = Dispatchers.Default } },
-        "jdk-connection-per-call" to jdk(baseUrl) { header("Connection", "close") },
-        "jdk-kept-connections" to jdk(baseUrl) { this },
+        "http-link" to ::httpLink,
+        "cio-default-dispatcher" to { url -> ktor(url, CIO) { engine { dispatcher = Dispatchers.Default } } },
+        "ktor-java" to { url -> ktor(url, Java) { engine { protocolVersion = Version.HTTP_1_1 } } },
+        "jdk-connection-per-call" to { url -> jdk(url) { header(HttpHeaders.Connection, "close") } },
+        "jdk-kept-connections" to { url -> jdk(url) { this } },
     )
 
 private fun httpLink(baseUrl: String): EngineVariant {
@@ -45,11 +50,12 @@
     return EngineVariant({ client.dispatch(it, DEADLINE_MS) is DispatchResult.Answered }, link::close)
 }
 
-private fun cio(
+private fun <T : HttpClientEngineConfig> ktor(
     baseUrl: String,
-    configure: HttpClientConfig<CIOEngineConfig>.() -> Unit,
+    engine: HttpClientEngineFactory<T>,
+    configure: HttpClientConfig<T>.() -> Unit,
 ): EngineVariant {
-    val client = HttpClient(CIO) { configure() }
+    val client = HttpClient(engine) { configure() }
     val send: SendRequest = { request ->
         val response =
             client.post("$baseUrl/requests") {
@@ -60,17 +66,23 @@
     return EngineVariant(send, client::close)
 }
 
-/** The client that the Java engine of Ktor wraps; the engine itself is not among the project's libraries. */
+/**
+ * Lets the Java library's client send the `Connection` header, which it rejects otherwise. Must be called before any
+ * variant is opened, since the property is read when the client's classes are loaded.
+ */
+internal fun allowConnectionHeader() {
+    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "connection")
+}
+
+/** The client that the Java engine of Ktor wraps. */
 private fun jdk(
     baseUrl: String,
     configure: HttpRequest.Builder.() -> HttpRequest.Builder,
 ): EngineVariant {
-    // The client rejects the header otherwise. The property is read when the client's classes are loaded.
-    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "connection")
     val client =
         java.net.http.HttpClient
             .newBuilder()
-            .version(java.net.http.HttpClient.Version.HTTP_1_1)
+            .version(Version.HTTP_1_1)
             .build()
     val send: SendRequest = { request ->
         val body = HttpRequest.BodyPublishers.ofString(wireJson.encodeToString(request))
