Check release notes against the live fleet and show traffic

A note could guarantee more than a data centre holds, since nothing connected the check to the published capacities. Only notes that change workspaces are judged, so that a lost rack does not block other changes. Requests of unknown outcome are listed with the late jobs, and the calls and bytes of the platform and peer links are metrics.

Measured: tests only; the check for 24 accelerators on a fleet of 16 names both numbers.

--- a/daemon/src/main/kotlin/org/orioleferry/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/Daemon.kt
@@ -68,8 +68,8 @@
                 httpApi(settings.requests.maxBodyBytes.toLong()) {
                     probeRoutes(parts.metrics, parts::isReady)
                     requestRoutes(parts.requests)
-                    jobRoutes(parts.jobs)
-                    noteRoutes(parts.notes)
+                    jobRoutes(parts.jobs, parts::late)
+                    noteRoutes(parts.notes, parts::commit)
                     eventRoutes(parts.events)
                     instanceRoutes(
                         settings.instance,
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/DaemonParts.kt
@@ -23,13 +23,20 @@
 import org.orioleferry.coordination.upstream.Upstream
 import org.orioleferry.coordination.upstream.UpstreamEvidence
 import org.orioleferry.core.Clock
+import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.LateList
+import org.orioleferry.core.api.NoteAccepted
 import org.orioleferry.core.event.EventSink
+import org.orioleferry.core.map
 import org.orioleferry.core.model.JobId
+import org.orioleferry.core.model.ReleaseNote
+import org.orioleferry.core.notes.NoteLimits
 import org.orioleferry.core.settings.DaemonSettings
 import org.orioleferry.daemon.event.EventLog
 import org.orioleferry.daemon.jobs.JobParts
 import org.orioleferry.daemon.jobs.JobService
 import org.orioleferry.daemon.jobs.JobSettings
+import org.orioleferry.daemon.notes.NoteAdmission
 import org.orioleferry.daemon.requests.RequestPeers
 import org.orioleferry.daemon.requests.RequestService
 import org.orioleferry.daemon.requests.RequestSettings
@@ -108,6 +115,7 @@
         )
     private val upstreams =
         ObservedUpstreams(self, list, network, membership::candidates, clock, events = sink, probe = ::probe)
+    private val admission = NoteAdmission()
     val notes: NoteDistribution =
         NoteDistribution(
             NoteInstance(self, settings.instance.dataCentre),
@@ -117,7 +125,9 @@
             clock,
             random,
             NoteSettings(pullMs = settings.notes.pullMs),
-            events = sink,
+            { NoteLimits(settings.longestDeadlineMs) },
+            admission::problems,
+            sink,
         )
     val ownership: OwnershipManager =
         OwnershipManager(
@@ -171,11 +181,18 @@
             ),
         )
 
+    /** Commits a release note unless it guarantees more than the live fleet holds. */
+    suspend fun commit(note: ReleaseNote): Outcome<NoteAccepted> = admission.admit(note, jobs::fleets, notes::commit)
+
+    /** Jobs and requests that are late, lost or of unknown outcome. */
+    suspend fun late(): Outcome<LateList> = jobs.late().map { LateList(it.items + requests.unknownOutcomes()) }
+
     /** Whether the balancer may send callers here. */
     fun isReady(): Boolean = notes.isReady.value && !isDraining
 
     /** Starts everything that runs in the background. */
     fun startControllers(scope: CoroutineScope) {
+        bindMetrics()
         scope.launch { list.run() }
         scope.launch { membership.run() }
         scope.launch { upstreams.run() }
@@ -186,6 +203,20 @@
         scope.launch { receiveHints() }
     }
 
+    private fun bindMetrics() {
+        metrics.gauge("orioleferry.platform.calls") { link.traffic.calls.toDouble() }
+        metrics.gauge("orioleferry.platform.sent.bytes") { link.traffic.bytesSent.toDouble() }
+        metrics.gauge("orioleferry.platform.received.bytes") { link.traffic.bytesReceived.toDouble() }
+        metrics.gauge("orioleferry.peers.sent.bytes") { network.counters.bytesSent.toDouble() }
+        metrics.gauge("orioleferry.peers.received.bytes") { network.counters.bytesReceived.toDouble() }
+        metrics.gauge("orioleferry.peers.unknown.kinds") { network.counters.unknownKinds.toDouble() }
+        metrics.gauge("orioleferry.notes.version") {
+            notes.configuration.value.version
+                .toDouble()
+        }
+        metrics.gauge("orioleferry.owned.domains") { ownership.owned().size.toDouble() }
+    }
+
     override fun close() {
         link.close()
     }
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobRoutes.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobRoutes.kt
@@ -10,13 +10,17 @@
 import org.orioleferry.core.FailureCode
 import org.orioleferry.core.Outcome
 import org.orioleferry.core.api.JobSubmission
+import org.orioleferry.core.api.LateList
 import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobState
 import org.orioleferry.core.model.WorkspaceName
 import org.orioleferry.daemon.http.respondOutcome
 
-/** Serves the job, worker, workspace and late endpoints. */
-internal fun Route.jobRoutes(jobs: JobService) {
+/** Serves the job, worker and workspace endpoints, and [late] work for the operations desk. */
+internal fun Route.jobRoutes(
+    jobs: JobService,
+    late: suspend () -> Outcome<LateList>,
+) {
     post("/v1/jobs") {
         call.respondOutcome(jobs.submit(call.receive<JobSubmission>()), HttpStatusCode.Accepted)
     }
@@ -34,7 +38,7 @@
     delete("/v1/jobs/{id}") { call.respondOutcome(jobs.cancel(call.jobId())) }
     get("/v1/workers") { call.respondOutcome(jobs.workers()) }
     get("/v1/workspaces") { call.respondOutcome(jobs.workspaces()) }
-    get("/v1/late") { call.respondOutcome(jobs.late()) }
+    get("/v1/late") { call.respondOutcome(late()) }
 }
 
 private fun RoutingCall.jobId(): JobId = JobId(parameters["id"].orEmpty())
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/notes/NoteRoutes.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/notes/NoteRoutes.kt
@@ -6,6 +6,8 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import org.orioleferry.coordination.notes.NoteDistribution
+import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.NoteAccepted
 import org.orioleferry.core.api.NoteEntry
 import org.orioleferry.core.api.NoteHistory
 import org.orioleferry.core.api.PolicyList
@@ -13,10 +15,13 @@
 import org.orioleferry.core.model.ReleaseNote
 import org.orioleferry.daemon.http.respondOutcome
 
-/** Serves release notes, the configuration in force and the policies. */
-internal fun Route.noteRoutes(notes: NoteDistribution) {
+/** Serves release notes, the configuration in force and the policies. [commit] takes a new note. */
+internal fun Route.noteRoutes(
+    notes: NoteDistribution,
+    commit: suspend (ReleaseNote) -> Outcome<NoteAccepted>,
+) {
     post("/v1/notes") {
-        call.respondOutcome(notes.commit(call.receive<ReleaseNote>()))
+        call.respondOutcome(commit(call.receive<ReleaseNote>()))
     }
     get("/v1/notes") {
         val after = call.request.queryParameters["after"]?.toLongOrNull() ?: 0
