Let preemptible gangs reclaim only what covers them

Cause: a preemptible gang could reclaim onto spare accelerators in place of its guaranteed parts. Nothing covered it there, and its victim could stop it in turn without end.

Change: a preemptible job reclaims only guaranteed parts of its workspace, and from its own workspace stops only less urgent gangs. Two tests failed before (20 stops in 20 passes) and pass now.

--- a/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
@@ -148,13 +148,20 @@
         val equal = equalParts(job, target)
         val allowance = { worker: WorkerId ->
             val held = own[worker] ?: if (worker in equal) job.gang.accelerators else 0
-            held + ledger.spare.free(worker) / size * size
+            // A preemptible gang on spare accelerators is not covered, so that its victims could stop it in turn.
+            if (job.isPreemptible) held else held + ledger.spare.free(worker) / size * size
         }
         return stopFor(job, { members -> if (members.all { it.worker in equal }) members else target }, allowance) {
-            !ledger.isCovered(it.jobId)
+            !ledger.isCovered(it.jobId) && isBelow(it, job)
         }
     }
 
+    /** Whether [gang] may be stopped for [job] without being able to stop it in turn through the same guarantee. */
+    private fun isBelow(
+        gang: PlacedGang,
+        job: WaitingJob,
+    ): Boolean = !job.isPreemptible || gang.workspace != job.workspace || gang.urgency > job.urgency
+
     /** Workers that hold a block of one part which is exactly as large as the one that [target] would use. */
     private fun equalParts(
         job: WaitingJob,
--- a/core/src/test/kotlin/org/orioleferry/core/placement/PolicyTest.kt
+++ b/core/src/test/kotlin/org/orioleferry/core/placement/PolicyTest.kt
@@ -117,6 +117,55 @@
         expectThat(world.pass().reclaims).isEmpty()
     }
 
+    // Guards against two gangs of one workspace that stop each other in turns, since neither start is covered.
+    @Test
+    fun `preemptible gangs of one workspace and class should not stop each other`() {
+        val world = PlacementWorld(guaranteeAware, fleetOf(4), mapOf(sheds to listOf(Guarantee(site, 2, 8))))
+        world.occupyHalf(0)
+        world.occupyHalf(1)
+        val first = world.submit(Gang(4, 4))
+        world.pass()
+        val second = world.submit(Gang(4, 4))
+        repeat(20) {
+            world.nowMs += 1_200
+            world.pass()
+        }
+        expectThat(world.preempted).isEqualTo(0)
+        world.gangs.remove(first.jobId)
+        world.pass()
+        expectThat(world.gangs.keys).contains(second.jobId)
+    }
+
+    // Guards against two workspaces that stop each other in turns, each outside the parts that cover it.
+    @Test
+    fun `gangs of two workspaces should come to rest after one reclaim`() {
+        val guarantees =
+            mapOf(sheds to listOf(Guarantee(site, 1, 8)), WorkspaceName("audit") to listOf(Guarantee(site, 1, 8)))
+        val world = PlacementWorld(guaranteeAware, fleetOf(4), guarantees)
+        world.occupyHalf(0)
+        world.occupyHalf(1)
+        repeat(2) { world.submit(Gang(2, 4), "audit") }
+        world.submit(Gang(4, 2), "audit")
+        world.pass()
+        repeat(2) { world.submit(Gang(2, 4), "sheds") }
+        repeat(5) {
+            world.nowMs += 1_200
+            world.pass()
+        }
+        val settled = world.preempted
+        repeat(20) {
+            world.nowMs += 1_200
+            world.pass()
+        }
+        expectThat(world.preempted).isEqualTo(settled)
+    }
+
+    private fun PlacementWorld.occupyHalf(index: Int) {
+        val id = JobId.of(site, "fixed$index")
+        val members = listOf(PlacementMember(workers[index].id, 4))
+        gangs[id] = PlacedGang(id, WorkspaceName("none"), JobClassName("fixed"), 3, false, members)
+    }
+
     // Guards against a quota that is ignored by one of the policies.
     @Test
     fun `no policy should exceed a quota`() {
