Start large gangs on guaranteed blocks and spare accelerators together

Cause: a start used either guaranteed blocks that hold the whole gang or spare accelerators alone.

Change: a gang that is not preemptible and is larger than each block of its workspace uses both; the ledger covers the members that match a block and counts the others.

--- a/core/src/main/kotlin/org/orioleferry/core/guarantee/Cover.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/guarantee/Cover.kt
@@ -97,6 +97,22 @@
             ?: attempt(workspace, members, blocks.filter { it.adjacency != Adjacency.RACK })
     }
 
+    /** Uses guaranteed parts of [workspace] for as many [members] as possible and counts the others, or returns null. */
+    fun coverPart(
+        workspace: WorkspaceName,
+        members: List<PlacementMember>,
+    ): List<Use>? {
+        val present = members.flatMap { heldAt(workspace, it) }.map { it.block }
+        val blocks = (present + fresh[workspace].orEmpty().flatten()).distinct()
+        val mark = undo.size
+        val matched = members.map { match(workspace, it, blocks) }
+        val rest = members.zip(matched).filter { it.second == null }.map { it.first }
+        val taken = matched.filterNotNull()
+        val isFitting = rest.all { count(it, 1) } && taken.map { it.chunk.block }.distinct().all(::holdRest)
+        if (!isFitting) undoTo(mark)
+        return taken.takeIf { isFitting }
+    }
+
     private fun firstFresh(queue: ArrayDeque<Block>): Block? {
         while (queue.firstOrNull()?.isTouched == true) queue.removeFirst()
         return queue.firstOrNull()
--- a/core/src/main/kotlin/org/orioleferry/core/guarantee/GuaranteeLedger.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/guarantee/GuaranteeLedger.kt
@@ -57,6 +57,10 @@
     /** Whether the workspace's own guarantee covers the gang, so that it is not stopped for another workspace. */
     fun isCovered(jobId: JobId): Boolean = jobId in uses
 
+    /** Accelerators of the largest guaranteed block of [workspace], or a number above any gang when it has none. */
+    fun largestBlock(workspace: WorkspaceName): Int =
+        byWorkspace[workspace]?.maxOf { block -> block.chunks.sumOf { it.size } } ?: Int.MAX_VALUE
+
     /** For each block of [workspace] its unused parts and the workers on which they are held. */
     fun entitlement(workspace: WorkspaceName): List<Entitlement> =
         byWorkspace[workspace].orEmpty().mapNotNull { block ->
@@ -107,7 +111,12 @@
      */
     private fun coverTogether(gangs: List<FixedGang>): Boolean {
         gangs.forEach { gang -> gang.members.forEach { cover.count(it, -1) } }
-        val covered = gangs.associateWith { cover.cover(it.workspace, it.members) }
+        val covered =
+            gangs.associateWith { gang ->
+                val isLarge = gang.members.sumOf { it.accelerators } > largestBlock(gang.workspace)
+                cover.cover(gang.workspace, gang.members)
+                    ?: if (isLarge) cover.coverPart(gang.workspace, gang.members) else null
+            }
         val rest = gangs.filter { covered[it] == null }
         val isFitting = rest.all { gang -> gang.members.all { cover.count(it, 1) } }
         if (isFitting) covered.forEach { (gang, taken) -> if (taken != null) uses[gang.jobId] = taken }
--- a/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
@@ -62,6 +62,7 @@
             startBeyond(job) ||
             (target != null && reclaim(job, target)) ||
             (job.urgency <= URGENT_LIMIT && reclaimRoutine(job)) ||
+            (!job.isPreemptible && startAcross(job)) ||
             reserve(job)
 
     /**
@@ -181,6 +182,20 @@
         return stopFor(job, { emptyList() }, ledger.spare::free, isRoutine)
     }
 
+    /**
+     * Starts a gang that is larger than each guaranteed block of its workspace on those blocks and spare accelerators
+     * together. Each of them alone may never have room for it, although it fits beside the other guarantees.
+     */
+    private fun startAcross(job: WaitingJob): Boolean {
+        if (job.gang.accelerators <= ledger.largestBlock(job.workspace)) return false
+        val parts = ledger.entitlement(job.workspace).flatMap { it.parts }
+        val own = parts.groupBy({ it.worker }, { it.accelerators }).mapValues { it.value.sum() }
+        val isRoutine = { gang: PlacedGang ->
+            job.urgency <= URGENT_LIMIT && !ledger.isCovered(gang.jobId) && gang.urgency >= job.urgency + URGENCY_GAP
+        }
+        return stopFor(job, { it }, { worker -> ledger.spare.free(worker) + (own[worker] ?: 0) }, isRoutine)
+    }
+
     private fun stopFor(
         job: WaitingJob,
         target: (List<PlacementMember>) -> List<PlacementMember>,
