--- a/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/placement/GuaranteeAware.kt
@@ -62,6 +62,7 @@
             startBeyond(job) ||
             (target != null && reclaim(job, target)) ||
             (job.urgency <= URGENT_LIMIT && reclaimRoutine(job)) ||
+            (!job.isPreemptible && startAcross(job)) ||
             reserve(job)
 
     /**
@@ -148,12 +149,19 @@
         val equal = equalParts(job, target)
         val allowance = { worker: WorkerId ->
             val held = own[worker] ?: if (worker in equal) job.gang.accelerators else 0
-            held + ledger.spare.free(worker) / size * size
+            // A preemptible gang on spare accelerators is not covered, so that its victims could stop it in turn.
+            if (job.isPreemptible) held else held + ledger.spare.free(worker) / size * size
         }
         val used = { members: List<PlacementMember> -> if (members.all { it.worker in equal }) members else target }
-        return stopFor(job, own.keys + equal, used, allowance) { !ledger.isCovered(it.jobId) }
+        return stopFor(job, own.keys + equal, used, allowance) { !ledger.isCovered(it.jobId) && isBelow(it, job) }
     }
 
+    /** Whether [gang] may be stopped for [job] without being able to stop it in turn through the same guarantee. */
+    private fun isBelow(
+        gang: PlacedGang,
+        job: WaitingJob,
+    ): Boolean = !job.isPreemptible || gang.workspace != job.workspace || gang.urgency > job.urgency
+
     /** Workers that hold a block of one part which is exactly as large as the one that [target] would use. */
     private fun equalParts(
         job: WaitingJob,
@@ -173,6 +181,20 @@
         return stopFor(job, emptyList(), { emptyList() }, ledger.spare::free, isRoutine)
     }
 
+    /**
+     * Starts a gang that is larger than each guaranteed block of its workspace on those blocks and spare accelerators
+     * together. Each of them alone may never have room for it, although it fits beside the other guarantees.
+     */
+    private fun startAcross(job: WaitingJob): Boolean {
+        if (job.gang.accelerators <= ledger.largestBlock(job.workspace)) return false
+        val parts = ledger.entitlement(job.workspace).flatMap { it.parts }
+        val own = parts.groupBy({ it.worker }, { it.accelerators }).mapValues { it.value.sum() }
+        val isRoutine = { gang: PlacedGang ->
+            job.urgency <= URGENT_LIMIT && !ledger.isCovered(gang.jobId) && gang.urgency >= job.urgency + URGENCY_GAP
+        }
+        return stopFor(job, own.keys, { it }, { ledger.spare.free(it) + (own[it] ?: 0) }, isRoutine)
+    }
+
     private fun stopFor(
         job: WaitingJob,
         near: Collection<WorkerId>,
