--- a/bench/src/main/kotlin/org/orioleferry/bench/Bench.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/Bench.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
+import org.orioleferry.bench.capacity.CapacityCommand
 import org.orioleferry.bench.demo.DemoWorkload
 import org.orioleferry.bench.faults.FaultRun
 import org.orioleferry.bench.process.Deployment
@@ -42,5 +43,5 @@
 /** Runs the experiments; the exit code is 0 only when nothing regressed. */
 public fun main(args: Array<String>): Unit =
     NoOpCliktCommand("bench")
-        .subcommands(FaultsCommand())
+        .subcommands(FaultsCommand(), CapacityCommand())
         .main(args)
--- /dev/null
+++ b/bench/src/main/kotlin/org/orioleferry/bench/capacity/CallSlopes.kt
@@ -0,0 +1,176 @@
+package org.orioleferry.bench.capacity
+
+import org.orioleferry.bench.process.Deployment
+import org.orioleferry.bench.process.DeploymentSize
+import org.orioleferry.core.model.Epoch
+import org.orioleferry.core.model.JobId
+import org.orioleferry.platform.CommitResult
+import org.orioleferry.platform.Fence
+import org.orioleferry.platform.InstanceList
+import org.orioleferry.platform.LeaseResult
+import org.orioleferry.platform.ReadResult
+import org.orioleferry.platform.TableOperation
+import org.orioleferry.platform.TableService
+import org.orioleferry.platform.WorkerClient
+import org.orioleferry.platform.http.HttpInstanceList
+import org.orioleferry.platform.http.HttpLink
+import org.orioleferry.platform.http.HttpTableService
+import org.orioleferry.platform.http.HttpWorkerClient
+import java.nio.file.Path
+
+/** Bytes on the connection and processor time of the calls that the control work makes over HTTP. */
+internal class CallSlopes(
+    private val folder: Path,
+) {
+    private val fence = Fence(Sample.domain, Epoch(EPOCH))
+    private val leaseId = "kalamata-a.$SUFFIX-1-$EPOCH-0"
+
+    suspend fun measure(): List<Slope> {
+        val deployment = Deployment(DeploymentSize(listOf(Sample.domain.value), WORKERS, daemons = 0), folder)
+        return deployment.use {
+            it.start()
+            HttpLink().use { link -> measure(it, link) }
+        }
+    }
+
+    private suspend fun measure(
+        deployment: Deployment,
+        link: HttpLink,
+    ): List<Slope> {
+        await("the registration of the workers") { deployment.workers().size == WORKERS }
+        val name = deployment.workers().first()
+        val direct = HttpWorkerClient("${deployment.workersUrl}/workers/$name", DEADLINE_MS, link)
+        val job = JobId("kalamata-a.$SUFFIX")
+        check(direct.reserve(fence, leaseId, job, 1, 1, LEASE_MS) is LeaseResult.Applied) { "no lease was granted" }
+        direct.start(fence, leaseId, LEASE_MS)
+        val times =
+            listOf(
+                processor(SlopeKey.PROCESSOR_RENEW) { renew(direct) },
+                processor(SlopeKey.PROCESSOR_PROBE) { probe(direct) },
+            )
+        val workers = CountingRelay(portOf(deployment.workersUrl))
+        val platform = CountingRelay(portOf(deployment.platformUrl))
+        return workers.use {
+            platform.use {
+                val counted = HttpWorkerClient("http://127.0.0.1:${workers.port}/workers/$name", DEADLINE_MS, link)
+                times + workerBytes(workers, counted) + storeBytes(platform, link) + listBytes(deployment, link)
+            }
+        }
+    }
+
+    private suspend fun workerBytes(
+        relay: CountingRelay,
+        worker: WorkerClient,
+    ) = listOf(
+        bytes(SlopeKey.CALL_RENEW, relay) { renew(worker) },
+        bytes(SlopeKey.CALL_PROBE, relay) { probe(worker) },
+    )
+
+    private suspend fun storeBytes(
+        relay: CountingRelay,
+        link: HttpLink,
+    ): List<Slope> {
+        val tables = HttpTableService("http://127.0.0.1:${relay.port}", DEADLINE_MS, link)
+        val lease = """{"owner":"entry-1","incarnation":1796360000000,"epoch":12,"ttlMs":1500,"renewals":1234}"""
+        var version = 0L
+        val renewals =
+            bytes(SlopeKey.CALL_OWNERSHIP, relay) {
+                val operation = TableOperation("ownership", "lease/kalamata-a", version, lease)
+                version = (tables.commit(listOf(operation)) as CommitResult.Committed).versions.first()
+            }
+        val reads =
+            bytes(SlopeKey.CALL_READ, relay) {
+                check(tables.read("ownership", "lease/kalamata-a") is ReadResult.Found)
+            }
+        return listOf(renewals, reads, scans(relay, tables))
+    }
+
+    /** Scans of request rows, which the search for rows left behind repeats all the time. */
+    private suspend fun scans(
+        relay: CountingRelay,
+        tables: TableService,
+    ): Slope {
+        val points =
+            listOf(20, 80, 200).map { size ->
+                val rows = RequestRowSample.rows(size)
+                val operations = rows.map { TableOperation("requests", it.key, null, it.value) }
+                operations.chunked(CHUNK).forEach { check(tables.commit(it) is CommitResult.Committed) }
+                val before = relay.bytes
+                check(tables.scan("requests", "") is ReadResult.Found)
+                Point(size.toDouble(), (relay.bytes - before).toDouble())
+            }
+        return slopeOf(SlopeKey.CALL_SCAN, points)
+    }
+
+    /** The whole list at three lengths of it; the relay of the platform sees one answer for each. */
+    private suspend fun listBytes(
+        deployment: Deployment,
+        link: HttpLink,
+    ): Slope {
+        val lists = listOf(WORKERS, 2 * WORKERS, 4 * WORKERS)
+        val points =
+            lists.map { count ->
+                ListSample.fill(deployment.platformUrl, link, count)
+                CountingRelay(portOf(deployment.platformUrl)).use { relay ->
+                    val list: InstanceList = HttpInstanceList("http://127.0.0.1:${relay.port}", DEADLINE_MS, link)
+                    var found = 0
+                    var bytes = 0L
+                    // The list lags behind the registrations.
+                    await("listing $count workers") {
+                        val before = relay.bytes
+                        found = (list.list() as ReadResult.Found).value.size
+                        bytes = relay.bytes - before
+                        found == WORKERS + count
+                    }
+                    Point(found.toDouble(), bytes.toDouble())
+                }
+            }
+        return slopeOf(SlopeKey.CALL_LIST, points)
+    }
+
+    private suspend fun renew(worker: WorkerClient) {
+        check(worker.renew(fence, leaseId, LEASE_MS) is LeaseResult.Applied) { "a renewal failed" }
+    }
+
+    private suspend fun probe(worker: WorkerClient) {
+        check(worker.status() is ReadResult.Found) { "a probe failed" }
+    }
+
+    private suspend fun bytes(
+        key: SlopeKey,
+        relay: CountingRelay,
+        call: suspend () -> Unit,
+    ): Slope {
+        val points =
+            listOf(10, 20, 40).map { count ->
+                val before = relay.bytes
+                repeat(count) { call() }
+                Point(count.toDouble(), (relay.bytes - before).toDouble())
+            }
+        return slopeOf(key, points)
+    }
+
+    private suspend fun processor(
+        key: SlopeKey,
+        call: suspend () -> Unit,
+    ): Slope {
+        repeat(WARM_UP) { call() }
+        val points =
+            listOf(500, 1_000, 2_000).map { count ->
+                Point(count.toDouble(), processorMsOf { repeat(count) { call() } })
+            }
+        return slopeOf(key, points)
+    }
+
+    private fun portOf(url: String): Int = url.substringAfterLast(':').toInt()
+
+    private companion object {
+        const val WORKERS = 16
+        const val EPOCH = 12L
+        const val SUFFIX = "1b4e28ba-2fa1-11d2-883f-0016d3cca427"
+        const val DEADLINE_MS = 5_000L
+        const val LEASE_MS = 600_000L
+        const val WARM_UP = 1_500
+        const val CHUNK = 50
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/orioleferry/bench/capacity/ProcessorTime.kt
@@ -0,0 +1,13 @@
+package org.orioleferry.bench.capacity
+
+import java.lang.management.ManagementFactory
+
+/** Processor time in milliseconds that this whole process takes during [block]. */
+internal suspend fun processorMsOf(block: suspend () -> Unit): Double {
+    val bean = ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean
+    val beforeNanos = bean.processCpuTime
+    block()
+    return (bean.processCpuTime - beforeNanos) / NANOS_PER_MS
+}
+
+private const val NANOS_PER_MS = 1e6
