Keep the typed errors of endpoints that answer 404

Cause: the status handler for 404 and 405 replaced every answer with that status, so UNKNOWN_WORKSPACE, UNKNOWN_CLASS and the NOT_FOUND of a job were sent as "no endpoint ... with this method". The NOT_FOUND of a job, whose notRun is false, also became one with notRun true.

Change: the handler replaces only answers without a body, which are those of the routing.

Conclusion: the daemon was wrong by sections 1.2 and 5.3 of docs/design.md.

--- a/daemon/src/main/kotlin/org/orioleferry/daemon/http/HttpApi.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/http/HttpApi.kt
@@ -6,6 +6,7 @@
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.install
+import io.ktor.server.http.content.HttpStatusCodeContent
 import io.ktor.server.plugins.BadRequestException
 import io.ktor.server.plugins.ContentTransformationException
 import io.ktor.server.plugins.contentnegotiation.ContentNegotiation
@@ -42,7 +43,9 @@
     install(ContentNegotiation) { json(apiJson) }
     install(StatusPages) {
         exception<Throwable> { call, cause -> call.respondException(cause, maxBodyBytes) }
-        status(HttpStatusCode.NotFound, HttpStatusCode.MethodNotAllowed) { call, status ->
+        status(HttpStatusCode.NotFound, HttpStatusCode.MethodNotAllowed) { status ->
+            // The routing answers with a bare status; an answer with a body is a typed error of an endpoint.
+            if (content !is HttpStatusCodeContent) return@status
             call.respondFailure(
                 Failure(FailureCode.NOT_FOUND, "no endpoint ${call.request.path()} with this method", true),
                 status,
