--- a/core/src/main/kotlin/org/orioleferry/core/api/Api.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/api/Api.kt
@@ -9,7 +9,9 @@
 import org.orioleferry.core.model.Guarantee
 import org.orioleferry.core.model.InstanceId
 import org.orioleferry.core.model.JobClassName
+import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobRecord
+import org.orioleferry.core.model.JobState
 import org.orioleferry.core.model.WorkerId
 import org.orioleferry.core.model.WorkspaceName
 
@@ -67,6 +69,13 @@
     val suffix: String? = null,
 )
 
+/** Answer of `POST /v1/jobs`. */
+@Serializable
+public data class JobAccepted(
+    val jobId: JobId,
+    val state: JobState,
+)
+
 /** Answer of `GET /v1/jobs`. */
 @Serializable
 public data class JobList(
--- a/core/src/test/kotlin/org/orioleferry/core/api/ApiPageTest.kt
+++ b/core/src/test/kotlin/org/orioleferry/core/api/ApiPageTest.kt
@@ -36,7 +36,7 @@
         mapOf(
             "POST /v1/requests" to RequestAnswer.serializer(),
             "GET /v1/requests/{workspace}/{key}" to RequestStatus.serializer(),
-            "POST /v1/jobs" to JobRecord.serializer(),
+            "POST /v1/jobs" to JobAccepted.serializer(),
             "GET /v1/jobs" to JobList.serializer(),
             "GET /v1/jobs/{id}" to JobRecord.serializer(),
             "DELETE /v1/jobs/{id}" to JobRecord.serializer(),
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobRoutes.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobRoutes.kt
@@ -8,9 +8,9 @@
 import io.ktor.server.routing.delete
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
-import kotlinx.serialization.Serializable
 import org.orioleferry.core.FailureCode
 import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.JobAccepted
 import org.orioleferry.core.api.JobSubmission
 import org.orioleferry.core.api.toErrorBody
 import org.orioleferry.core.map
@@ -18,13 +18,6 @@
 import org.orioleferry.core.model.JobState
 import org.orioleferry.core.model.WorkspaceName
 
-/** Answer of `POST /v1/jobs`. */
-@Serializable
-public data class JobAccepted(
-    val jobId: JobId,
-    val state: JobState,
-)
-
 /** Serves the job, worker, workspace and late endpoints. Needs the content negotiation plug-in with JSON. */
 public fun Route.jobRoutes(jobs: JobService) {
     post("/v1/jobs") {
