--- a/bench/src/main/kotlin/org/orioleferry/bench/capacity/CallSamples.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/capacity/CallSamples.kt
@@ -16,7 +16,7 @@
 
     private const val VALUE =
         """{"requestId":"1b4e28ba-2fa1-11d2-883f-0016d3cca427","state":"done","workspace":"sheds",""" +
-            """"jobClass":"shed-credit","worker":"w0001","workerUrl":"http://10.0.0.1/workers/w0001",""" +
+            """"jobClass":"shed-credit","worker":"w0001","workerUrl":"http://127.0.0.1/workers/w0001",""" +
             """"instance":"entry-1","digest":"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08",""" +
             """"createdWallMs":1796360000000,"result":"credited weight 1"}"""
 }
@@ -32,7 +32,7 @@
         val registry = HttpInstanceRegistry(platformUrl, DEADLINE_MS, link)
         repeat(count) {
             val id = "sample-%04d".format(it)
-            val url = "http://10.0.0.1:7001/workers/$id"
+            val url = "http://127.0.0.1:7001/workers/$id"
             val rack = "kalamata-a-rack-1"
             val entry = ListedInstance(id, ListedInstance.KIND_WORKER, Sample.domain.value, rack, url)
             check(registry.put(entry) is CommitResult.Committed) { "the list refused an entry" }
--- a/bench/src/main/kotlin/org/orioleferry/bench/capacity/HeapSlopes.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/capacity/HeapSlopes.kt
@@ -70,13 +70,13 @@
     private suspend fun workers(count: Int): Long {
         val entries =
             List(count) {
-                val url = "http://10.0.${it / SUBNET}.${it % SUBNET}:7001/workers/w%04d".format(it)
+                val url = "http://127.0.${it / SUBNET}.${it % SUBNET}:7001/workers/w%04d".format(it)
                 val rack = "rack-${it / RACK}"
                 val id = "w%04d".format(it)
                 ListedInstance(id, ListedInstance.KIND_WORKER, Sample.domain.value, rack, url)
             }
         val job = Job()
-        val watcher = InstanceListWatcher({ ReadResult.Found(entries.map { it.copy() }) }, Random(1))
+        val watcher = InstanceListWatcher({ ReadResult.Found(entries.map { it.copy() }) }, Random(1), SystemClock)
         val directory =
             ObservedUpstreams(Sample.instance, watcher, NoPeers, { setOf(Sample.instance) }, SystemClock) {
                 UpstreamEvidence.ANSWERED
--- a/bench/src/main/kotlin/org/orioleferry/bench/capacity/JobHost.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/capacity/JobHost.kt
@@ -53,7 +53,7 @@
         val listed =
             List(workers) {
                 val id = "w%04d".format(it)
-                Upstream(WorkerId(id), domain, "rack-${it / RACK}", "http://10.0.0.1/workers/$id", UpstreamState.LIVE)
+                Upstream(WorkerId(id), domain, "rack-${it / RACK}", "http://127.0.0.1/workers/$id", UpstreamState.LIVE)
             }
         return object : UpstreamDirectory {
             override fun snapshot() = listed
--- a/bench/src/main/kotlin/org/orioleferry/bench/capacity/StoreSlopes.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/capacity/StoreSlopes.kt
@@ -99,7 +99,7 @@
                 SystemClock,
                 { _, _ -> },
                 RequestSettings(Sample.instance),
-                RequestPeers({ setOf(Sample.instance) }, { _, candidates -> candidates.first() }),
+                RequestPeers({ setOf(Sample.instance) }, assigned = { _, candidates -> candidates.first() }),
             )
         CoroutineScope(Dispatchers.Default + job).launch { service.run() }
         val endMs = SystemClock.monotonicMs() + RUN_MS
--- a/bench/src/main/kotlin/org/orioleferry/bench/load/DaemonClient.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/load/DaemonClient.kt
@@ -19,6 +19,7 @@
 import org.orioleferry.bench.process.benchJson
 import org.orioleferry.core.api.ErrorBody
 import org.orioleferry.core.api.ErrorDetail
+import org.orioleferry.core.api.JobAccepted
 import org.orioleferry.core.api.JobList
 import org.orioleferry.core.api.JobSubmission
 import org.orioleferry.core.api.NoteAccepted
@@ -63,7 +64,7 @@
     suspend fun send(body: RequestBody): CallResult<RequestAnswer> =
         post("/v1/requests", benchJson.encodeToString(body))
 
-    suspend fun submit(submission: JobSubmission): CallResult<JobRecord> =
+    suspend fun submit(submission: JobSubmission): CallResult<JobAccepted> =
         post("/v1/jobs", benchJson.encodeToString(submission))
 
     suspend fun job(id: JobId): CallResult<JobRecord> = get("/v1/jobs/$id")
--- a/bench/src/main/kotlin/org/orioleferry/bench/load/JobLedger.kt
+++ b/bench/src/main/kotlin/org/orioleferry/bench/load/JobLedger.kt
@@ -1,6 +1,7 @@
 package org.orioleferry.bench.load
 
 import kotlinx.coroutines.delay
+import org.orioleferry.core.api.JobAccepted
 import org.orioleferry.core.api.JobSubmission
 import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobRecord
@@ -15,7 +16,7 @@
 
     /** The latest answer to a submission that was not accepted. */
     @Volatile
-    var lastRefusal: CallResult<JobRecord>? = null
+    var lastRefusal: CallResult<JobAccepted>? = null
         private set
 
     /** Identifier of the accepted job, or null when it was refused; the suffix makes a repeat safe. */
--- a/cli/src/main/kotlin/org/orioleferry/cli/JobCommands.kt
+++ b/cli/src/main/kotlin/org/orioleferry/cli/JobCommands.kt
@@ -12,7 +12,7 @@
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.delay
-import kotlinx.serialization.Serializable
+import org.orioleferry.core.api.JobAccepted
 import org.orioleferry.core.api.JobList
 import org.orioleferry.core.api.JobSubmission
 import org.orioleferry.core.model.Adjacency
@@ -30,12 +30,6 @@
 internal fun jobCommands() =
     CommandGroup("job", "Jobs").subcommands(JobSubmit(), JobStatus(), JobListCommand(), JobCancel())
 
-@Serializable
-internal data class JobAccepted(
-    val jobId: JobId,
-    val state: JobState,
-)
-
 private val JOB_HEADINGS = listOf("job", "state", "workspace", "class", "caller", "accelerators", "attempt", "workers")
 
 private fun JobRecord.toRow(): List<String> =
--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobRoutes.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/JobRoutes.kt
@@ -9,8 +9,10 @@
 import io.ktor.server.routing.post
 import org.orioleferry.core.FailureCode
 import org.orioleferry.core.Outcome
+import org.orioleferry.core.api.JobAccepted
 import org.orioleferry.core.api.JobSubmission
 import org.orioleferry.core.api.LateList
+import org.orioleferry.core.map
 import org.orioleferry.core.model.JobId
 import org.orioleferry.core.model.JobState
 import org.orioleferry.core.model.WorkspaceName
@@ -22,7 +24,8 @@
     late: suspend () -> Outcome<LateList>,
 ) {
     post("/v1/jobs") {
-        call.respondOutcome(jobs.submit(call.receive<JobSubmission>()), HttpStatusCode.Accepted)
+        val outcome = jobs.submit(call.receive<JobSubmission>())
+        call.respondOutcome(outcome.map { JobAccepted(it.jobId, it.state) }, HttpStatusCode.Accepted)
     }
     get("/v1/jobs") {
         val workspace = call.request.queryParameters["workspace"]?.let(::WorkspaceName)
