Look at a run that was taken over as often as its age asks for

docs/CAPACITY.md shows 10 renewals a task in the first 2 s of a takeover, 1,700 calls/s with 340 tasks: a run that was taken over counted as new, and new runs are looked at every 200 ms. The age now comes from the start in the row.

Measured in virtual time, 4 tasks an hour old: 40 renewals in 2 s before (the failing run of the new test), at most 8 after.

--- a/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/GangRun.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/jobs/GangRun.kt
@@ -40,6 +40,13 @@
     val members: List<MemberHandle> =
         planned.map { MemberHandle(term, held.record, it) }
     val startedMs: Long = term.clock.monotonicMs()
+
+    // A run that is taken over is as old as its row says. Counted as new, it would be looked at every 200 ms at first,
+    // which is 10 calls for each task within 2 s of a takeover.
+    private val ageAtStartMs =
+        held.record.startedWallMs
+            ?.let { term.clock.wallMs() - it }
+            ?.coerceAtLeast(0) ?: 0
     var isStopping: Boolean = held.record.state == JobState.STOPPING
         private set
     private var isGone = false
@@ -115,7 +122,7 @@
     /** Short runs are looked at often and long ones rarely, so that detecting the end adds at most a tenth. */
     private fun pauseMs(): Long {
         if (members.any { it.failedProbes > 0 }) return term.settings.probePeriodMs
-        val elapsedMs = term.clock.monotonicMs() - startedMs
+        val elapsedMs = term.clock.monotonicMs() - startedMs + ageAtStartMs
         val longestMs = term.settings.taskLeaseTtlMs / RENEWALS_PER_TTL
         return if (members.all { it.isFresh }) 0 else (elapsedMs / LOOKS_PER_RUN).coerceIn(SHORTEST_PAUSE_MS, longestMs)
     }
--- a/daemon/src/test/kotlin/org/orioleferry/daemon/jobs/JobLifeTest.kt
+++ b/daemon/src/test/kotlin/org/orioleferry/daemon/jobs/JobLifeTest.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
 import org.orioleferry.core.model.JobState
+import org.orioleferry.standins.CallFault
+import org.orioleferry.standins.WorkerCallKind
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.hasSize
@@ -44,4 +46,29 @@
             expectThat(world.row(job).state).isEqualTo(JobState.RUNNING)
             world.close()
         }
+
+    // Guards against a takeover that looks at every long run as often as at a new one, 10 calls a task in 2 s.
+    @Test
+    fun `a takeover should look rarely at a run that is an hour old`() =
+        runTest {
+            val world = JobWorld(this)
+            val first = world.startOwner()
+            world.submit(world.gang(members = 4, accelerators = 8), workMs = 10_000_000)
+            delay(3_600_000)
+            first.kill()
+            var renewals = 0
+            world.callFault = { call ->
+                if (call.kind == WorkerCallKind.RENEW) renewals++
+                CallFault.NONE
+            }
+            world.startOwner()
+            delay(2_000)
+            expectThat(renewals).isLessThanOrEqualTo(MAX_RENEWALS)
+            world.close()
+        }
+
+    private companion object {
+        // One look at each of the four members at the takeover, and one more for a renewal that falls due.
+        const val MAX_RENEWALS = 8
+    }
 }
