--- a/daemon/src/main/kotlin/org/orioleferry/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/Metrics.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.daemon
 
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -24,7 +25,7 @@
         name: String,
         value: () -> Double,
     ) {
-        io.micrometer.core.instrument.Gauge
+        Gauge
             .builder(name) { value() }
             .register(registry)
     }
