Keep a failing peer link from ending the daemon

The coroutines of the peer network were children of the daemon's own scope, so an unexpected exception in one link would have ended the process and cut the requests in progress. They now run under a supervisor that logs the failure.

Found by reading the wiring against the library's description; no failing run and no test of its own exists.

--- a/daemon/src/main/kotlin/org/orioleferry/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/orioleferry/daemon/Daemon.kt
@@ -1,14 +1,18 @@
 package org.orioleferry.daemon
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.server.cio.CIO
 import io.ktor.server.cio.CIOApplicationEngine
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import org.orioleferry.coordination.peer.PeerAddress
 import org.orioleferry.core.Clock
@@ -20,6 +24,8 @@
 import org.orioleferry.daemon.notes.noteRoutes
 import org.orioleferry.daemon.requests.requestRoutes
 
+private val logger = KotlinLogging.logger {}
+
 /** One entry instance: the HTTP API for callers and operators, and the controllers behind it. */
 internal class Daemon(
     private val settings: DaemonSettings,
@@ -28,6 +34,9 @@
     private val parts = DaemonParts(settings, clock)
     private val stop = CompletableDeferred<Unit>()
 
+    // One broken link must not end the process and with it the requests in progress.
+    private val linkFailures = CoroutineExceptionHandler { _, cause -> logger.error(cause) { "a peer link failed" } }
+
     /** Starts a graceful shutdown; [run] returns when it is complete. */
     fun requestStop() {
         stop.complete(Unit)
@@ -38,7 +47,8 @@
         coroutineScope {
             parts.events.record(EventType.PROCESS_STARTED, mapOf("instance" to settings.instance.id.value))
             val background = CoroutineScope(coroutineContext)
-            val peer = parts.network.start(background, PeerAddress(settings.listen.host, settings.listen.peerPort))
+            val links = CoroutineScope(coroutineContext + SupervisorJob(coroutineContext.job) + linkFailures)
+            val peer = parts.network.start(links, PeerAddress(settings.listen.host, settings.listen.peerPort))
             parts.startControllers(background)
             val server = startServer()
             val httpPort =
