Remove settings without effect and complete the examples

Seven settings were checked and documented as bounds, but nothing used them, so an operator would have relied on bounds that do not exist; they come back with the code that applies them. The examples did not list the data centres, so that each instance would have competed for its own only and a data centre would have had no owner after its last instance ended.

--- a/core/src/main/kotlin/org/orioleferry/core/settings/DaemonSettings.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/settings/DaemonSettings.kt
@@ -66,14 +66,12 @@
  *
  * @property ttlMs time without a renewal after which the lease has expired.
  * @property renewMs period of the owner's renewals.
- * @property firstStandbyReadMs read period of the standby of rank 0.
  * @property otherStandbyReadMs read period of all other standbys.
  * @property rankDelayMs additional delay for each rank before an expired lease is acquired.
  */
 public data class OwnershipSettings(
     val ttlMs: Long = 1_500,
     val renewMs: Long = 500,
-    val firstStandbyReadMs: Long = 500,
     val otherStandbyReadMs: Long = 2_000,
     val rankDelayMs: Long = 200,
 )
@@ -101,17 +99,11 @@
  * Requests and the bounds of what callers can make the daemon hold.
  *
  * @property maxQueued bound of the queue of each class, in requests.
- * @property maxCallers bound of the table of callers, in entries.
- * @property maxRecordedAnswerBytes longest answer kept in a request's row.
  * @property recordMs deadline of the write that records an answer before the caller gets it.
  */
 public data class RequestSettings(
     val maxBodyBytes: Int = 65_536,
-    val maxHeaderBytes: Int = 8_192,
-    val maxConnections: Int = 1_024,
     val maxQueued: Int = 2_000,
-    val maxCallers: Int = 4_096,
-    val maxRecordedAnswerBytes: Int = 16_384,
     val defaultDeadlineMs: Long = 5_000,
     val recordMs: Long = 500,
 )
@@ -120,19 +112,16 @@
  * Placement of jobs.
  *
  * @property scanMs period of scans of a domain's job rows.
- * @property maxQueued bound of the queue of a data centre, in jobs.
  */
 public data class JobSettings(
     val taskLeaseTtlMs: Long = 9_000,
     val reclaimGraceMs: Long = 1_000,
     val scanMs: Long = 1_000,
-    val maxQueued: Int = 10_000,
 )
 
-/** Links between instances. [maxQueuedFrames] bounds the frames that wait for one peer. */
+/** Links between instances. A link on which nothing moves for [progressMs] is closed and reopened. */
 public data class PeerSettings(
     val maxFrameBytes: Int = 262_144,
-    val maxQueuedFrames: Int = 256,
     val progressMs: Long = 3_000,
 )
 
--- a/core/src/main/kotlin/org/orioleferry/core/settings/SettingsCombinations.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/settings/SettingsCombinations.kt
@@ -13,7 +13,6 @@
         checkOwnership(settings)
         checkLiveness(settings)
         checkDeadlines(settings)
-        checkSizes(settings)
     }
 }
 
@@ -45,12 +44,6 @@
             "less than ${ownership.ttlMs - ownership.renewMs}, ownership.ttlMs - renewMs, so that a renewal can time out",
             settings.platform.deadlineMs,
         )
-        rule(
-            listOf("ownership.otherStandbyReadMs", "ownership.firstStandbyReadMs"),
-            ownership.otherStandbyReadMs >= ownership.firstStandbyReadMs,
-            "at least firstStandbyReadMs (${ownership.firstStandbyReadMs})",
-            ownership.otherStandbyReadMs,
-        )
     }
 
     fun checkLiveness(settings: DaemonSettings) {
@@ -103,15 +96,6 @@
         )
     }
 
-    fun checkSizes(settings: DaemonSettings) {
-        rule(
-            listOf("requests.maxRecordedAnswerBytes", "peers.maxFrameBytes"),
-            settings.requests.maxRecordedAnswerBytes <= settings.peers.maxFrameBytes,
-            "at most peers.maxFrameBytes (${settings.peers.maxFrameBytes})",
-            settings.requests.maxRecordedAnswerBytes,
-        )
-    }
-
     private fun rule(
         keys: List<String>,
         holds: Boolean,
--- a/core/src/main/kotlin/org/orioleferry/core/settings/SettingsParser.kt
+++ b/core/src/main/kotlin/org/orioleferry/core/settings/SettingsParser.kt
@@ -106,7 +106,6 @@
     return OwnershipSettings(
         ttlMs = period("ttlMs", default.ttlMs),
         renewMs = period("renewMs", default.renewMs),
-        firstStandbyReadMs = period("firstStandbyReadMs", default.firstStandbyReadMs),
         otherStandbyReadMs = period("otherStandbyReadMs", default.otherStandbyReadMs),
         rankDelayMs = long("rankDelayMs", MILLISECONDS, DELAY_MS, default.rankDelayMs),
     )
@@ -127,11 +126,7 @@
     val default = RequestSettings()
     return RequestSettings(
         maxBodyBytes = int("maxBodyBytes", BYTES, BUFFER_BYTES, default.maxBodyBytes),
-        maxHeaderBytes = int("maxHeaderBytes", BYTES, BUFFER_BYTES, default.maxHeaderBytes),
-        maxConnections = int("maxConnections", COUNT, QUEUE, default.maxConnections),
         maxQueued = int("maxQueued", COUNT, QUEUE, default.maxQueued),
-        maxCallers = int("maxCallers", COUNT, QUEUE, default.maxCallers),
-        maxRecordedAnswerBytes = int("maxRecordedAnswerBytes", BYTES, BUFFER_BYTES, default.maxRecordedAnswerBytes),
         defaultDeadlineMs = period("defaultDeadlineMs", default.defaultDeadlineMs),
         recordMs = period("recordMs", default.recordMs),
     )
@@ -143,7 +138,6 @@
         taskLeaseTtlMs = period("taskLeaseTtlMs", default.taskLeaseTtlMs),
         reclaimGraceMs = long("reclaimGraceMs", MILLISECONDS, DELAY_MS, default.reclaimGraceMs),
         scanMs = period("scanMs", default.scanMs),
-        maxQueued = int("maxQueued", COUNT, QUEUE, default.maxQueued),
     )
 }
 
@@ -151,7 +145,6 @@
     val default = PeerSettings()
     return PeerSettings(
         maxFrameBytes = int("maxFrameBytes", BYTES, BUFFER_BYTES, default.maxFrameBytes),
-        maxQueuedFrames = int("maxQueuedFrames", COUNT, QUEUE, default.maxQueuedFrames),
         progressMs = period("progressMs", default.progressMs),
     )
 }
--- a/core/src/test/kotlin/org/orioleferry/core/settings/ExamplesTest.kt
+++ b/core/src/test/kotlin/org/orioleferry/core/settings/ExamplesTest.kt
@@ -8,6 +8,7 @@
 import org.orioleferry.core.notes.applyNote
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.contains
 import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -29,7 +30,16 @@
     @ValueSource(strings = ["kalamata", "omotnica"])
     fun `the settings should load and show the defaults`(deployment: String) {
         val loaded = settings(deployment)
-        expectThat(loaded).isEqualTo(DaemonSettings(loaded.instance, loaded.listen, loaded.platform))
+        val defaults = DaemonSettings(loaded.instance, loaded.listen, loaded.platform, loaded.dataCentres)
+        expectThat(loaded).isEqualTo(defaults)
+    }
+
+    // Guards against a data centre without an owner after its only instance has ended, since none other competes for it.
+    @ParameterizedTest
+    @ValueSource(strings = ["kalamata", "omotnica"])
+    fun `the settings should name all four data centres`(deployment: String) {
+        val loaded = settings(deployment)
+        expectThat(loaded.domains).hasSize(4).contains(loaded.instance.dataCentre)
     }
 
     // Guards against an example note that is refused, or that guarantees more than a data centre holds.
