--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
@@ -0,0 +1,60 @@
+package org.orioleferry.scheduler
+
+/**
+ * Writes one structured line for a decision that touches a request or changes what the process believes.
+ *
+ * The receiver has to return at once; it may drop lines under load as long as it counts them.
+ */
+public fun interface DecisionLog {
+    /** Records the outcome [event] of the job or task [id] with the inputs that decided it. */
+    public fun record(
+        event: SchedulerEvent,
+        id: String,
+        vararg inputs: Pair<String, Any?>,
+    )
+}
+
+/** Numbered events of the scheduler; the numbers are stable. 81xx process, 82xx ownership, 83xx jobs, 84xx workers. */
+public enum class SchedulerEvent(
+    public val number: Int,
+) {
+    PROCESS_STARTED(8101),
+    PROCESS_READY(8102),
+    DRAIN_STARTED(8103),
+    PROCESS_STOPPED(8104),
+    SETTINGS_RELOADED(8105),
+    STORE_LOST(8106),
+    STORE_REGAINED(8107),
+    MANIFEST_IN_FORCE(8108),
+    MANIFEST_UNREADABLE(8109),
+    OWNERSHIP_ACQUIRED(8201),
+    OWNERSHIP_LOST(8202),
+    OWNERSHIP_RELEASED(8203),
+    RENEWAL_FAILED(8204),
+    TERM_LOADED(8205),
+    TAKEOVER_CLEAR(8206),
+    JOB_ACCEPTED(8301),
+    JOB_REFUSED(8302),
+    JOB_OUTCOME_UNKNOWN(8303),
+    JOB_CANCEL_ACCEPTED(8304),
+    JOB_SEEN(8305),
+    JOB_ENDED(8306),
+    JOB_UNREADABLE(8307),
+    CALL_REFUSED(8308),
+    PROGRESS_STORED(8310),
+    PROGRESS_FAILED(8311),
+    RUN_STARTED(8401),
+    RUN_START_REFUSED(8402),
+    RUN_START_UNKNOWN(8403),
+    RUN_STOP(8404),
+    RUN_ENDED(8405),
+    RUN_ADOPTED(8406),
+    RUN_FOREIGN(8407),
+    WORKER_CLAIMED(8410),
+    WORKER_LOST(8411),
+    WORKER_REBORN(8412),
+    WORKER_DRAINING(8413),
+    WORKER_SUSPECTED(8414),
+    STEP_PREEMPTS(8415),
+    INTERNAL_ERROR(8901),
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -0,0 +1,34 @@
+package org.orioleferry.scheduler
+
+/**
+ * Times and limits of the scheduler in ms unless the name says otherwise.
+ *
+ * @property leaseTtlMs age of the last renewal at which the ownership has lapsed. The bound for taking turns is 3 s, and
+ *   two missed renewals have to be survived.
+ * @property renewMs pause between renewals, a third of [leaseTtlMs].
+ * @property holdLimitMs age of the last renewal up to which an owner that the store does not answer still extends the
+ *   leases of running tasks. Longer than the outages of about 5 s that the deployments state.
+ * @property runLeaseMs lease of running tasks at a worker, at most what the worker grants.
+ * @property longHoldMs longest wait of a hold call, a limit of the workers.
+ * @property clockSlowdown lowest rate of a worker's clock against ours.
+ * @property keyFreshnessMs age of the manifest beyond which calls with a key are refused.
+ * @property stopTimeoutMs time that a worker may take for a stop.
+ * @property gangTimeoutMs time that a member of a gang waits for the others.
+ * @property statusKeptMs time for which the state of an ended job can be read.
+ * @property returnGraceMs time after an outage of the store within which lapsed entries of workers come back.
+ */
+public data class SchedulerSettings(
+    val instance: String,
+    val dataCentre: String,
+    val leaseTtlMs: Long = 2_600,
+    val renewMs: Long = 850,
+    val holdLimitMs: Long = 10_000,
+    val runLeaseMs: Long = 6_000,
+    val longHoldMs: Int = 2_000,
+    val clockSlowdown: Double = 0.98,
+    val keyFreshnessMs: Long = 2_900,
+    val stopTimeoutMs: Long = 900,
+    val gangTimeoutMs: Long = 3_000,
+    val statusKeptMs: Long = 120_000,
+    val returnGraceMs: Long = 2_500,
+)
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/ManifestHolder.kt
@@ -0,0 +1,45 @@
+package org.orioleferry.scheduler.callers
+
+import org.orioleferry.core.Clock
+import org.orioleferry.scheduler.DecisionLog
+import org.orioleferry.scheduler.Moment
+import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.SchedulerSettings
+import org.orioleferry.scheduler.ageOf
+import org.orioleferry.scheduler.model.Manifest
+
+/** The manifest in force on this instance. Its version never goes back while the process lives. */
+public class ManifestHolder(
+    private val clock: Clock,
+    private val settings: SchedulerSettings,
+    private val log: DecisionLog,
+) {
+    @Volatile
+    public var current: Manifest? = null
+        private set
+
+    @Volatile
+    private var confirmedAt: Moment? = null
+
+    /** Whether the store confirmed recently enough that no newer manifest takes keys away. */
+    public val isFresh: Boolean get() = confirmedAt?.let { clock.ageOf(it) < settings.keyFreshnessMs } ?: false
+
+    /** Puts [manifest] in force unless a newer one is. */
+    public fun offer(manifest: Manifest) {
+        val known = current
+        if (known != null && manifest.version <= known.version) return
+        current = manifest
+        log.record(
+            SchedulerEvent.MANIFEST_IN_FORCE,
+            settings.instance,
+            "version" to manifest.version,
+            "queues" to manifest.queues.size,
+            "earlier" to known?.version,
+        )
+    }
+
+    /** The store showed no newer manifest in answer to a call that was sent at [sentAt]. */
+    public fun confirm(sentAt: Moment) {
+        confirmedAt = sentAt
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -0,0 +1,276 @@
+package org.orioleferry.scheduler.owner
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import org.orioleferry.core.Clock
+import org.orioleferry.scheduler.DecisionLog
+import org.orioleferry.scheduler.Moment
+import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.SchedulerSettings
+import org.orioleferry.scheduler.ageOf
+import org.orioleferry.scheduler.now
+import org.orioleferry.scheduler.store.CommitResult
+import org.orioleferry.scheduler.store.FeedResult
+import org.orioleferry.scheduler.store.RowCondition
+import org.orioleferry.scheduler.store.RowStore
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.RowWrite
+import org.orioleferry.scheduler.store.Rows
+import org.orioleferry.scheduler.store.ScanResult
+import org.orioleferry.scheduler.store.StoredRow
+import org.orioleferry.scheduler.store.read
+
+/** Value of the lease row. An empty [holder] means that the ownership was given up. */
+@Serializable
+internal data class LeaseValue(
+    val holder: String,
+    val epoch: Long,
+    val renewals: Long,
+)
+
+/**
+ * The ownership of the installation in one epoch. The epoch is the fencing token at the workers.
+ *
+ * @property fenceVersion version of the fence row, which every transaction of the owner checks.
+ * @property acquiredVersion store version at which the epoch began.
+ */
+public class Ownership internal constructor(
+    public val epoch: Long,
+    public val fenceVersion: Long,
+    private val clock: Clock,
+    private val settings: SchedulerSettings,
+    renewedAt: Moment,
+) {
+    internal var renewedAt: Moment = renewedAt
+    internal var isLost: Boolean = false
+
+    /** Whether starts, stops and other decisions are allowed. */
+    public val mayDecide: Boolean get() = !isLost && clock.ageOf(renewedAt) < settings.leaseTtlMs - DECISION_MARGIN_MS
+
+    /** Whether the leases of running tasks may still be extended. */
+    public val mayHold: Boolean get() = !isLost && clock.ageOf(renewedAt) < settings.holdLimitMs
+
+    private companion object {
+        // An order that is decided just before the lease ends still has to be sent.
+        const val DECISION_MARGIN_MS = 400L
+    }
+}
+
+/**
+ * Elects one owner for the installation by compare-and-set on the lease row.
+ *
+ * An instance that is not the owner follows the row through the feed and acquires it when it has not changed for the
+ * lease's duration. [lead] runs while the ownership lasts and is cancelled when it ends.
+ */
+public class Election(
+    private val store: RowStore,
+    private val clock: Clock,
+    private val settings: SchedulerSettings,
+    private val log: DecisionLog,
+    private val lead: suspend (Ownership) -> Unit,
+) {
+    private var isResigning = false
+
+    /** The ownership while this instance has it. */
+    public var current: Ownership? = null
+        private set
+    private var leaseVersion = 0L
+
+    /** Takes part until cancelled. */
+    public suspend fun run() {
+        while (true) {
+            if (isResigning) {
+                delay(settings.leaseTtlMs)
+                continue
+            }
+            val row = awaitFree()
+            val ownership = acquire(row) ?: continue
+            hold(ownership)
+        }
+    }
+
+    /** Gives the ownership up, so that another instance takes over at once, and takes no further part. */
+    public suspend fun resign() {
+        isResigning = true
+        val ownership = current ?: return
+        ownership.isLost = true
+        val value = LeaseValue("", ownership.epoch, 0)
+        val result = store.commit(leaseWrite(leaseVersion, value))
+        log.record(SchedulerEvent.OWNERSHIP_RELEASED, settings.instance, "epoch" to ownership.epoch, "result" to result)
+    }
+
+    private suspend fun awaitFree(): StoredRow? {
+        var known: StoredRow? = null
+        var changedAt = clock.monotonicMs()
+        var wasAway = true
+        var after = -1L
+        while (true) {
+            if (after < 0) {
+                val scan = store.read(Rows.lease)
+                if (scan !is ScanResult.Rows) {
+                    wasAway = true
+                    delay(RETRY_MS)
+                    continue
+                }
+                val row = scan.rows.firstOrNull()
+                if (row?.version != known?.version) changedAt = clock.monotonicMs()
+                // The owner could not renew during an outage either; it gets the time for one renewal.
+                if (wasAway &&
+                    known != null
+                ) {
+                    changedAt =
+                        maxOf(changedAt, clock.monotonicMs() - settings.leaseTtlMs + RETURN_GRACE_MS)
+                }
+                wasAway = false
+                known = row
+                after = scan.version
+            }
+            val value = known?.let { decode(it) }
+            if (value == null || value.holder.isEmpty() || value.holder == settings.instance) return known
+            val remaining = changedAt + settings.leaseTtlMs + rankDelayMs(value.epoch) - clock.monotonicMs()
+            if (remaining <= 0) return known
+            when (val feed = store.feed(Rows.OWNER, after, minOf(remaining, FEED_WAIT_MS).toInt())) {
+                is FeedResult.Changes -> {
+                    after = feed.version
+                    feed.rows.lastOrNull { it.key == Rows.lease }?.let {
+                        known = it
+                        changedAt = clock.monotonicMs()
+                    }
+                }
+                FeedResult.HistoryLost -> after = -1
+                is FeedResult.Unavailable -> {
+                    wasAway = true
+                    after = -1
+                    delay(RETRY_MS)
+                }
+            }
+        }
+    }
+
+    // Candidates act one after another, so that most do not lose a race.
+    private fun rankDelayMs(epoch: Long): Long =
+        Math.floorMod((settings.instance + epoch).hashCode(), RANKS) * RANK_STEP_MS
+
+    private suspend fun acquire(row: StoredRow?): Ownership? {
+        val epoch = (row?.let { decode(it) }?.epoch ?: 0) + 1
+        val sentAt = clock.now()
+        val value = LeaseValue(settings.instance, epoch, 0)
+        val write = leaseWrite(row?.version ?: 0, value)
+        val fence = RowWrite(Rows.fence, "$epoch ${settings.instance}")
+        val version =
+            when (val result = store.commit(write.copy(writes = write.writes + fence))) {
+                is CommitResult.Committed -> result.version
+                is CommitResult.Conflicted -> ownVersion(result, epoch)
+                is CommitResult.Unavailable, is CommitResult.Unknown -> {
+                    delay(RETRY_MS)
+                    null
+                }
+            } ?: return null
+        leaseVersion = version
+        log.record(SchedulerEvent.OWNERSHIP_ACQUIRED, settings.instance, "epoch" to epoch, "version" to version)
+        return Ownership(epoch, version, clock, settings, sentAt)
+    }
+
+    /** Version of the lease row if it holds our own earlier write whose answer was lost. */
+    private fun ownVersion(
+        conflict: CommitResult.Conflicted,
+        epoch: Long,
+    ): Long? {
+        val row = conflict.rows.firstOrNull { it.key == Rows.lease } ?: return null
+        val value = decode(row) ?: return null
+        return row.version.takeIf { value.holder == settings.instance && value.epoch == epoch }
+    }
+
+    private suspend fun hold(ownership: Ownership) {
+        current = ownership
+        try {
+            coroutineScope {
+                val work =
+                    launch {
+                        lead(ownership)
+                    }
+                renewUntilLost(ownership)
+                work.cancel()
+            }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.record(
+                SchedulerEvent.INTERNAL_ERROR,
+                settings.instance,
+                "in" to "term",
+                "error" to e.stackTraceToString(),
+            )
+        } finally {
+            ownership.isLost = true
+            current = null
+            log.record(SchedulerEvent.OWNERSHIP_LOST, settings.instance, "epoch" to ownership.epoch)
+        }
+    }
+
+    private suspend fun renewUntilLost(ownership: Ownership) {
+        var renewals = 0L
+        var pauseMs = settings.renewMs
+        while (true) {
+            delay(pauseMs)
+            if (ownership.isLost || !ownership.mayHold) return
+            val sentAt = clock.now()
+            val result =
+                store.commit(
+                    leaseWrite(leaseVersion, LeaseValue(settings.instance, ownership.epoch, ++renewals)),
+                )
+            val version =
+                when (result) {
+                    is CommitResult.Committed -> result.version
+                    is CommitResult.Conflicted -> ownVersion(result, ownership.epoch) ?: return
+                    is CommitResult.Unavailable, is CommitResult.Unknown -> null
+                }
+            if (version == null) {
+                log.record(
+                    SchedulerEvent.RENEWAL_FAILED,
+                    settings.instance,
+                    "epoch" to ownership.epoch,
+                    "result" to result,
+                )
+                pauseMs = RETRY_MS
+            } else {
+                leaseVersion = version
+                // After a conflict with our own earlier write only that write's time is certain; the next renewal counts.
+                if (result is CommitResult.Committed) ownership.renewedAt = sentAt
+                pauseMs = if (result is CommitResult.Committed) settings.renewMs else 0
+            }
+        }
+    }
+
+    private fun leaseWrite(
+        version: Long,
+        value: LeaseValue,
+    ) = RowTransaction(
+        conditions = listOf(RowCondition(Rows.lease, version)),
+        writes = listOf(RowWrite(Rows.lease, Rows.json.encodeToString(LeaseValue.serializer(), value))),
+    )
+
+    private fun decode(row: StoredRow): LeaseValue? =
+        try {
+            Rows.json.decodeFromString(LeaseValue.serializer(), row.value)
+        } catch (e: IllegalArgumentException) {
+            log.record(SchedulerEvent.JOB_UNREADABLE, row.key.key, "value" to row.value)
+            null
+        }
+
+    private companion object {
+        // Several tries within the time that a renewal may be late.
+        const val RETRY_MS = 150L
+
+        // One renewal period and a round trip.
+        const val RETURN_GRACE_MS = 1_000L
+
+        // A silent connection to the store is noticed within this time.
+        const val FEED_WAIT_MS = 2_000L
+        const val RANKS = 8
+        const val RANK_STEP_MS = 60L
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobBook.kt
@@ -0,0 +1,130 @@
+package org.orioleferry.scheduler.owner
+
+import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.store.CommitResult
+import org.orioleferry.scheduler.store.RowCondition
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.Rows
+import org.orioleferry.scheduler.store.StoredRow
+
+/** All jobs that the owner knows, as the rows tell. */
+internal class JobBook(
+    private val parts: OwnerParts,
+    private val writer: ProgressWriter,
+    private val ownership: Ownership,
+) {
+    private val jobs = LinkedHashMap<String, Job>()
+
+    /** Jobs that have not ended, in the order of their acceptance rows. */
+    val live: Collection<Job> get() = liveJobs.values
+    private val liveJobs = LinkedHashMap<String, Job>()
+
+    /** Attempts of this epoch begin above those that any earlier owner may have used. */
+    val attemptBase: Int = ((ownership.epoch - 1) * ATTEMPTS_PER_EPOCH).toInt()
+
+    operator fun get(id: String): Job? = jobs[id]
+
+    fun load(
+        accepted: List<StoredRow>,
+        progress: List<StoredRow>,
+    ) {
+        val byId = progress.associateBy { it.key.key }
+        accepted.forEach { row -> add(row, byId[row.key.key])?.isInherited = row.version <= ownership.fenceVersion }
+    }
+
+    private fun add(
+        row: StoredRow,
+        progress: StoredRow?,
+    ): Job? {
+        val accepted = Rows.decodeJob(row.value)
+        if (accepted == null) {
+            parts.log.record(
+                SchedulerEvent.JOB_UNREADABLE,
+                row.key.key,
+                "table" to row.key.table,
+                "version" to row.version,
+            )
+            return null
+        }
+        val stored = progress?.let { Rows.decodeProgress(it.value) }
+        val job = Job(accepted, row.version, stored, progress?.version ?: 0)
+        jobs[job.id] = job
+        if (job.state.isEnded) return job
+        liveJobs[job.id] = job
+        parts.log.record(
+            SchedulerEvent.JOB_SEEN,
+            job.id,
+            "version" to row.version,
+            "queue" to accepted.spec.queue,
+            "state" to job.state,
+        )
+        if (accepted.isCancelled) end(job, JobState.CANCELLED, "cancelled before the term")
+        return job
+    }
+
+    /** Applies a row of the feed. Returns the job when it is new or was cancelled by this row. */
+    fun apply(row: StoredRow): Job? {
+        if (row.isDeleted) {
+            jobs.remove(row.key.key)
+            return null
+        }
+        val known = jobs[row.key.key] ?: return add(row, null)
+        if (row.version <= known.acceptedVersion) return null
+        val accepted = Rows.decodeJob(row.value) ?: return null
+        known.accepted = accepted
+        known.acceptedVersion = row.version
+        return known.takeIf { accepted.isCancelled && !known.state.isEnded }
+    }
+
+    /** Ends [job]; the state is shown once it is stored. */
+    fun end(
+        job: Job,
+        state: JobState,
+        reason: String,
+    ): Long {
+        if (job.state.isEnded) return writer.latest
+        job.state = state
+        job.endedMs = parts.clock.wallMs()
+        liveJobs.remove(job.id)
+        parts.log.record(
+            SchedulerEvent.JOB_ENDED,
+            job.id,
+            "state" to state,
+            "reason" to reason,
+            "ageMs" to (job.endedMs - job.accepted.acceptedMs),
+        )
+        return writer.mark(job)
+    }
+
+    /** Removes the rows of jobs whose state need not be readable any more. */
+    suspend fun purge() {
+        val cutoffMs = parts.clock.wallMs() - parts.settings.statusKeptMs - PURGE_SLACK_MS
+        val old =
+            jobs.values.filter { it.state.isEnded && it.endedMs in 1 until cutoffMs && it.liveRuns == 0 }.take(
+                PURGE_ROWS,
+            )
+        old.forEach { job ->
+            val acceptance = RowTransaction(removals = listOf(Rows.job(job.id)))
+            val progress =
+                RowTransaction(
+                    conditions = listOf(RowCondition(Rows.fence, ownership.fenceVersion)),
+                    removals = listOf(Rows.progress(job.id)),
+                )
+            val isRemoved = listOf(acceptance, progress).all { parts.store.commit(it) is CommitResult.Committed }
+            if (!isRemoved) return
+            jobs.remove(job.id)
+        }
+    }
+
+    private companion object {
+        // More than the starts that one owner can order of a task before it gives the job up.
+        const val ATTEMPTS_PER_EPOCH = 1_000L
+
+        // Callers may ask a little later than promised.
+        const val PURGE_SLACK_MS = 30_000L
+
+        // Keeps the writes of a purge below a tenth of the store's rate.
+        const val PURGE_ROWS = 50
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -0,0 +1,198 @@
+package org.orioleferry.scheduler.owner
+
+import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.model.Manifest
+import org.orioleferry.scheduler.model.Queue
+import org.orioleferry.scheduler.placement.Demand
+import org.orioleferry.scheduler.placement.Planner
+import org.orioleferry.scheduler.placement.Victim
+import org.orioleferry.scheduler.placement.WorkerRoom
+
+/** Turns the owner's state into a [Planner] pass and carries its plan out. */
+internal class Placement(
+    private val parts: OwnerParts,
+    private val ownership: Ownership,
+    private val book: JobBook,
+    private val fleet: Fleet,
+    private val runs: RunControl,
+) {
+    private val planner = Planner()
+    private val clock = parts.clock
+    private var hasWaiting = false
+    private var nextDueMs = Long.MAX_VALUE
+
+    /** Time until a pass may have something to do although nothing changed, in ms. */
+    fun nextTimerMs(): Long {
+        val untilDue = if (nextDueMs == Long.MAX_VALUE) IDLE_MS else nextDueMs - clock.wallMs()
+        return (if (hasWaiting) minOf(untilDue, WAITING_MS) else untilDue).coerceIn(1, IDLE_MS)
+    }
+
+    fun pass() {
+        val manifest = parts.manifest() ?: return
+        val isClear = fleet.isTakeoverClear()
+        nextDueMs = Long.MAX_VALUE
+        val steps = book.live.filter { isClear || !it.isInherited }.flatMap { ready(it) }
+        val demands = steps.mapNotNull { demandOf(it, manifest) }
+        hasWaiting = demands.isNotEmpty()
+        if (demands.isEmpty()) return
+        val plan = planner.plan(rooms(), demands, victims(manifest))
+        plan.placed.forEach { start(it.demand.key, it.workers) }
+        plan.preemptions.forEach { preemption ->
+            val step = preemption.demand.key
+            step.reserved = preemption.workers.mapNotNull { fleet[it] }
+            step.reservedAtMs = clock.monotonicMs()
+            parts.log.record(
+                SchedulerEvent.STEP_PREEMPTS,
+                step.job.id,
+                "step" to step.index,
+                "victims" to preemption.victims.size,
+            )
+            preemption.victims.forEach { victim -> victim.forEach { runs.stop(it, "preempted by ${step.job.id}") } }
+        }
+    }
+
+    /** Steps of [job] whose turn has come and that have tasks to start. */
+    private fun ready(job: Job): List<StepRun> {
+        if (!job.isLive) return emptyList()
+        val schedule = job.accepted.spec.schedule
+        val numbers = if (schedule == null) listOf(0) else dueOccurrences(job)
+        return numbers.flatMap { number ->
+            val steps = job.occurrence(number).orEmpty()
+            steps.filter { step ->
+                !step.isDone &&
+                    step.spec.after.all { steps[it].isDone } &&
+                    step.tasks.any { it.isWaiting() }
+            }
+        }
+    }
+
+    private fun dueOccurrences(job: Job): List<Int> {
+        val schedule = job.accepted.spec.schedule ?: return emptyList()
+        val now = clock.wallMs()
+        val open = (0 until schedule.occurrences).filterNot { job.isFinished(it) }
+        open.firstOrNull { schedule.dueMs(it) > now }?.let { nextDueMs = minOf(nextDueMs, schedule.dueMs(it)) }
+        return open.filter { schedule.dueMs(it) <= now }
+    }
+
+    private fun Task.isWaiting(): Boolean = !isDone && run == null && clock.monotonicMs() >= notBeforeMs
+
+    private fun demandOf(
+        step: StepRun,
+        manifest: Manifest,
+    ): Demand<StepRun>? {
+        val now = clock.monotonicMs()
+        if (step.readySinceMs < 0) step.readySinceMs = now
+        val waiting = step.tasks.filter { it.isWaiting() }
+        val spec = step.spec
+        // A gang starts again only when no member of an earlier attempt is left.
+        if (spec.isGang && waiting.size < spec.count) return null
+        val queue = manifest.queue(step.job.accepted.spec.queue)
+        val isReserved =
+            step.reserved.size == waiting.size &&
+                now - step.reservedAtMs < RESERVED_MS &&
+                step.reserved.all { it.isOpen }
+        if (!isReserved) step.reserved = emptyList()
+        return Demand(
+            key = step,
+            service = queue?.service ?: step.job.accepted.spec.service,
+            priority = queue?.priority ?: LOWEST_PRIORITY,
+            order = orderOf(step, queue),
+            need = step.countedNeed,
+            width = waiting.size,
+            isGang = spec.isGang,
+            sameRack = spec.sameRack,
+            label = spec.label,
+            dataRack = spec.dataRack,
+            maxPerWorker = spec.maxPerWorker,
+            used =
+                step.tasks
+                    .mapNotNull { it.run?.session?.id }
+                    .groupingBy { it }
+                    .eachCount(),
+            waitedMs = now - step.readySinceMs,
+            estimateMs = spec.estimateMs,
+            serves = spec.latencyTargetMs > 0,
+            fills = spec.usesSpareCpu,
+            reserved = step.reserved.map { it.id },
+        )
+    }
+
+    /** Latest time at which the step's job is on time; jobs that are too late to count go behind. */
+    private fun orderOf(
+        step: StepRun,
+        queue: Queue?,
+    ): Long {
+        val spec = step.job.accepted.spec
+        val begin = spec.schedule?.dueMs(step.occurrence) ?: step.job.accepted.acceptedMs
+        val objective =
+            (spec.steps.maxOf { it.estimateMs } * (queue?.stretch ?: 1.0)).toLong() + (queue?.objectiveMs ?: 0)
+        val isTooLate = clock.wallMs() > begin + LATE_FACTOR * objective
+        return begin + objective + if (isTooLate) TOO_LATE_MS else 0
+    }
+
+    private fun rooms(): List<WorkerRoom> =
+        fleet.sessions.filter { fleet.isUsable(it) }.map { session ->
+            WorkerRoom(
+                id = session.id,
+                service = session.listed.service,
+                rack = session.listed.rack,
+                labels = session.listed.labels,
+                capacity = session.listed.room,
+                free = session.free,
+                trouble = session.failuresInRow,
+                serves = session.runs.values.any { it.task.step.spec.latencyTargetMs > 0 },
+                fills = session.runs.values.any { it.task.step.spec.usesSpareCpu },
+            )
+        }
+
+    private fun victims(manifest: Manifest): List<Victim<List<Run>>> =
+        fleet.sessions
+            .flatMap { it.runs.values }
+            .filter { it.state == RunState.RUNNING && !it.task.step.spec.isLasting && it.task.step.job.isLive }
+            .groupBy { if (it.task.step.spec.isGang) it.task.step else it }
+            .values
+            .map { group ->
+                val step = group.first().task.step
+                val priority = manifest.queue(step.job.accepted.spec.queue)?.priority ?: LOWEST_PRIORITY
+                Victim(group, priority, step.countedNeed, group.map { it.session.id }, group.sumOf { lostBy(it) })
+            }
+
+    private fun lostBy(run: Run): Long {
+        val need = run.task.step.spec.need
+        val since = if (run.task.step.spec.savesProgress) maxOf(run.savedAtMs, run.startedAtMs) else run.startedAtMs
+        return (clock.monotonicMs() - since + STOP_COST_MS) *
+            (need.cpuMillis / 1_000 + need.accelerators * CORES_PER_ACCELERATOR)
+    }
+
+    private fun start(
+        step: StepRun,
+        workers: List<String>,
+    ) {
+        if (!ownership.mayDecide) return
+        step.reserved = emptyList()
+        val waiting = step.tasks.filter { it.isWaiting() }
+        val gangAttempt = if (step.spec.isGang) step.tasks.maxOf { runs.nextAttempt(it) } else 0
+        waiting.zip(workers).forEach { (task, worker) ->
+            val session = fleet[worker] ?: return@forEach
+            runs.start(task, session, if (step.spec.isGang) gangAttempt else runs.nextAttempt(task))
+        }
+    }
+
+    private companion object {
+        // Rules on waiting change their outcome with time only, so a pass at this period is enough.
+        const val WAITING_MS = 250L
+        const val IDLE_MS = 5_000L
+
+        // Victims stop within 0.9 s; an unused reservation does not keep the room for longer.
+        const val RESERVED_MS = 2_000L
+        const val LOWEST_PRIORITY = 9
+        const val CORES_PER_ACCELERATOR = 8
+
+        // Work that ends after three times its objective earns nothing.
+        const val LATE_FACTOR = 3
+        const val TOO_LATE_MS = 600_000L
+
+        // Starting again costs about this much besides the work itself.
+        const val STOP_COST_MS = 600L
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWriter.kt
@@ -0,0 +1,124 @@
+package org.orioleferry.scheduler.owner
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import org.orioleferry.scheduler.DecisionLog
+import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.store.CommitResult
+import org.orioleferry.scheduler.store.RowCondition
+import org.orioleferry.scheduler.store.RowStore
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.RowWrite
+import org.orioleferry.scheduler.store.Rows
+
+/**
+ * Writes the progress of changed jobs in groups.
+ *
+ * Each transaction checks the fence row, so that a former owner writes nothing, and the version of each row, so that a
+ * write whose answer was lost cannot overwrite a later one.
+ */
+internal class ProgressWriter(
+    private val store: RowStore,
+    private val ownership: Ownership,
+    private val log: DecisionLog,
+) {
+    private val dirty = LinkedHashMap<Job, Long>()
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var sequence = 0L
+    private var writing: Long? = null
+
+    /** All changes up to this number are stored. */
+    var storedSequence = 0L
+        private set
+
+    /** Called after each group that was stored. */
+    var onStored: () -> Unit = {}
+
+    /** Notes that [job] changed; the change is stored once [storedSequence] reaches the result. */
+    fun mark(job: Job): Long {
+        sequence++
+        dirty.putIfAbsent(job, sequence)
+        wake.trySend(Unit)
+        return sequence
+    }
+
+    /** Number of the latest change. */
+    val latest: Long get() = sequence
+
+    /** Writes until cancelled. */
+    suspend fun run() {
+        while (true) {
+            wake.receive()
+            delay(GROUP_MS)
+            while (dirty.isNotEmpty() && !ownership.isLost) writeGroup()
+        }
+    }
+
+    private suspend fun writeGroup() {
+        val group = dirty.keys.take(GROUP_ROWS)
+        val upTo = sequence
+        writing = dirty.getValue(group.first())
+        group.forEach { dirty.remove(it) }
+        when (val result = store.commit(transactionOf(group))) {
+            is CommitResult.Committed -> {
+                group.forEach { it.progressVersion = result.version }
+                writing = null
+                storedSequence = dirty.values.firstOrNull()?.let { it - 1 } ?: upTo
+                onStored()
+            }
+            is CommitResult.Conflicted -> resolve(group, result)
+            is CommitResult.Unavailable, is CommitResult.Unknown -> {
+                log.record(SchedulerEvent.PROGRESS_FAILED, group.first().id, "jobs" to group.size, "result" to result)
+                putBack(group)
+                delay(RETRY_MS)
+            }
+        }
+    }
+
+    private fun transactionOf(group: List<Job>): RowTransaction =
+        RowTransaction(
+            conditions =
+                listOf(RowCondition(Rows.fence, ownership.fenceVersion)) +
+                    group.map { RowCondition(Rows.progress(it.id), it.progressVersion) },
+            writes = group.map { RowWrite(Rows.progress(it.id), Rows.encode(it.toProgress())) },
+        )
+
+    private fun resolve(
+        group: List<Job>,
+        conflict: CommitResult.Conflicted,
+    ) {
+        val fence = conflict.rows.firstOrNull { it.key == Rows.fence }
+        if (fence != null && fence.version != ownership.fenceVersion) {
+            ownership.isLost = true
+            return
+        }
+        // Only this owner writes under this fence, so the other version is an earlier write whose answer was lost.
+        val versions = conflict.rows.associate { it.key to it.version }
+        group.forEach { job -> job.progressVersion = versions[Rows.progress(job.id)] ?: 0 }
+        log.record(
+            SchedulerEvent.PROGRESS_FAILED,
+            group.first().id,
+            "jobs" to group.size,
+            "result" to "earlier write found",
+        )
+        putBack(group)
+    }
+
+    private fun putBack(group: List<Job>) {
+        val first = writing ?: sequence
+        val later = LinkedHashMap(dirty)
+        dirty.clear()
+        group.forEach { dirty[it] = first }
+        later.forEach { (job, number) -> dirty.putIfAbsent(job, number) }
+        writing = null
+    }
+
+    private companion object {
+        // Ends that arrive within this time share a transaction; it delays the state that callers see.
+        const val GROUP_MS = 4L
+
+        // The store takes 100 entries in a call; conditions and writes count.
+        const val GROUP_ROWS = 48
+        const val RETRY_MS = 100L
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Pass.kt
@@ -0,0 +1,168 @@
+package org.orioleferry.scheduler.placement
+
+import org.orioleferry.scheduler.model.Resources
+
+/** Takes room for the demands of one pass, one after another. */
+internal class Pass(
+    rooms: List<WorkerRoom>,
+    private val settings: PlannerSettings,
+) {
+    private val byId = rooms.associateBy { it.id }
+    private val byService = rooms.groupBy { it.service }
+    private val used = HashMap<String, Int>()
+    private val heldFor = HashSet<String>()
+
+    fun <K> fitsReserved(demand: Demand<K>): Boolean =
+        demand.reserved.groupingBy { it }.eachCount().all { (worker, count) ->
+            val room = byId[worker] ?: return false
+            room.free.holds(demand.need, count) >= count
+        }
+
+    /** Takes the room even where it is not free yet, so that later demands stay away. */
+    fun <K> takeAll(
+        demand: Demand<K>,
+        workers: List<String>,
+    ) {
+        workers.forEach { id -> byId[id]?.let { it.free -= demand.need } }
+    }
+
+    /** Workers for the tasks of [demand]; fewer than its width when room is short, none for a gang that does not fit. */
+    fun <K> place(demand: Demand<K>): List<String> {
+        used.clear()
+        used.putAll(demand.used)
+        val rooms = byService[demand.service].orEmpty().filter { accepts(demand, it) }
+        val near = if (demand.dataRack.isEmpty()) rooms else rooms.filter { it.rack == demand.dataRack }
+        val chosen =
+            when {
+                demand.isGang -> gang(demand, near, rooms)
+                demand.sameRack -> oneRack(demand, near, rooms)
+                else -> scattered(demand, near, rooms)
+            }
+        takeAll(demand, chosen)
+        chosen.forEach { id ->
+            byId[id]?.let {
+                it.serves = it.serves || demand.serves
+                it.fills = it.fills || demand.fills
+            }
+        }
+        return chosen
+    }
+
+    /** Keeps the room of the rack that is closest to holding [demand] from all later demands of the pass. */
+    fun <K> holdRoomFor(demand: Demand<K>) {
+        if (!demand.isGang || demand.waitedMs < settings.gangPatienceMs || !heldFor.add(demand.service)) return
+        val rooms = byService[demand.service].orEmpty().filter { accepts(demand, it) }
+        val racks = rooms.groupBy { it.rack }.filterKeys { demand.dataRack.isEmpty() || it == demand.dataRack }
+        val rack = racks.values.filter { all -> all.sumOf { slotsWhenEmpty(demand, it) } >= demand.width }
+        val best = rack.maxByOrNull { all -> all.sumOf { slots(demand, it) } } ?: return
+        best.forEach { it.free = Resources() }
+    }
+
+    private fun <K> gang(
+        demand: Demand<K>,
+        near: List<WorkerRoom>,
+        rooms: List<WorkerRoom>,
+    ): List<String> {
+        if (demand.sameRack || demand.dataRack.isNotEmpty()) return oneRack(demand, near, rooms)
+        val chosen = fill(demand, rooms)
+        return if (chosen.size == demand.width) chosen else emptyList()
+    }
+
+    /** All tasks in one rack; over several racks only when waiting for one has taken too long. */
+    private fun <K> oneRack(
+        demand: Demand<K>,
+        near: List<WorkerRoom>,
+        rooms: List<WorkerRoom>,
+    ): List<String> {
+        val within = if (mayRunRemote(demand, rooms)) rooms else near
+        val racks = within.groupBy { it.rack }.values.map { rack -> rack to rack.sumOf { slots(demand, it) } }
+        val fitting = racks.filter { it.second >= demand.width }
+        val best = fitting.minWithOrNull(compareBy({ it.first.first().rack != demand.dataRack }, { it.second }))
+        if (best != null) return fill(demand, best.first)
+        if (!mayRunRemote(demand, rooms)) return emptyList()
+        val spread = fill(demand, rooms)
+        return if (spread.size == demand.width || !demand.isGang) spread else emptyList()
+    }
+
+    private fun <K> scattered(
+        demand: Demand<K>,
+        near: List<WorkerRoom>,
+        rooms: List<WorkerRoom>,
+    ): List<String> {
+        val first = fill(demand, near)
+        if (first.size == demand.width || near.size == rooms.size || !mayRunRemote(demand, rooms)) return first
+        return first + fill(demand, rooms - near.toSet(), demand.width - first.size)
+    }
+
+    /** Fills the tightest workers first, which keeps whole workers free for wide tasks. */
+    private fun <K> fill(
+        demand: Demand<K>,
+        rooms: List<WorkerRoom>,
+        width: Int = demand.width,
+    ): List<String> {
+        val chosen = ArrayList<String>(width)
+        val order = compareBy<WorkerRoom>({ it.trouble }, { leftover(demand, it) }, { it.id })
+        for (room in rooms.filter { slots(demand, it) > 0 }.sortedWith(order)) {
+            val count = minOf(width - chosen.size, slots(demand, room))
+            repeat(count) { chosen += room.id }
+            used.merge(room.id, count, Int::plus)
+            if (chosen.size == width) break
+        }
+        return chosen
+    }
+
+    private fun <K> leftover(
+        demand: Demand<K>,
+        room: WorkerRoom,
+    ): Long {
+        val free = room.free
+        return if (demand.need.accelerators >
+            0
+        ) {
+            free.accelerators.toLong() * CORE_MILLIS_PER_ACCELERATOR + free.cpuMillis
+        } else {
+            free.cpuMillis.toLong()
+        }
+    }
+
+    private fun <K> slots(
+        demand: Demand<K>,
+        room: WorkerRoom,
+    ): Int = minOf(room.free.holds(demand.need, demand.width), perWorkerLeft(demand, room))
+
+    private fun <K> slotsWhenEmpty(
+        demand: Demand<K>,
+        room: WorkerRoom,
+    ): Int = minOf(room.capacity.holds(demand.need, demand.width), perWorkerLeft(demand, room))
+
+    private fun <K> perWorkerLeft(
+        demand: Demand<K>,
+        room: WorkerRoom,
+    ): Int = if (demand.maxPerWorker == 0) Int.MAX_VALUE else maxOf(0, demand.maxPerWorker - (used[room.id] ?: 0))
+
+    private fun <K> mayRunRemote(
+        demand: Demand<K>,
+        rooms: List<WorkerRoom>,
+    ): Boolean {
+        if (demand.dataRack.isEmpty() && !demand.sameRack) return true
+        if (demand.waitedMs > demand.estimateMs * settings.remoteWaitFactor) return true
+        if (demand.waitedMs < settings.remoteWaitMs) return false
+        val total = rooms.sumOf { it.capacity.accelerators }
+        return total == 0 || rooms.sumOf { maxOf(0, it.free.accelerators) } > total * (1 - settings.lightUse)
+    }
+
+    private companion object {
+        // An accelerator is worth 8 cores in the accounts of work.
+        const val CORE_MILLIS_PER_ACCELERATOR = 8_000L
+    }
+}
+
+/** Whether the worker may run tasks of [demand] at all. Serving and filling tasks stay apart, since they disturb each other. */
+internal fun <K> accepts(
+    demand: Demand<K>,
+    room: WorkerRoom,
+): Boolean =
+    room.service == demand.service &&
+        (demand.label.isEmpty() || demand.label in room.labels) &&
+        !(demand.serves && room.fills) &&
+        !(demand.fills && room.serves)
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -0,0 +1,135 @@
+package org.orioleferry.scheduler.placement
+
+import org.orioleferry.scheduler.model.Resources
+
+/**
+ * Room of a worker during one pass; [free] shrinks as the pass places tasks.
+ *
+ * @property trouble 0 for a healthy worker; workers with a higher value are used last.
+ * @property serves whether tasks with a latency target run here.
+ * @property fills whether tasks that use spare processor time run here.
+ */
+internal class WorkerRoom(
+    val id: String,
+    val service: String,
+    val rack: String,
+    val labels: Set<String>,
+    val capacity: Resources,
+    var free: Resources,
+    val trouble: Int = 0,
+    var serves: Boolean = false,
+    var fills: Boolean = false,
+)
+
+/**
+ * Tasks of one step that wait for a worker.
+ *
+ * @property width tasks that want to start; all or none when [isGang].
+ * @property order place in the queue: lower goes first.
+ * @property used tasks of the step by worker, for [maxPerWorker].
+ * @property waitedMs time since the step became ready.
+ * @property reserved workers that were emptied for this step, one entry for each task.
+ */
+internal data class Demand<K>(
+    val key: K,
+    val service: String,
+    val priority: Int,
+    val order: Long,
+    val need: Resources,
+    val width: Int,
+    val isGang: Boolean = false,
+    val sameRack: Boolean = false,
+    val label: String = "",
+    val dataRack: String = "",
+    val maxPerWorker: Int = 0,
+    val used: Map<String, Int> = emptyMap(),
+    val waitedMs: Long = 0,
+    val estimateMs: Long = 0,
+    val serves: Boolean = false,
+    val fills: Boolean = false,
+    val reserved: List<String> = emptyList(),
+)
+
+/**
+ * A group of runs that can be stopped only together.
+ *
+ * @property lost work that would be thrown away, in core-ms with an accelerator counted as 8 cores.
+ */
+internal data class Victim<K>(
+    val key: K,
+    val priority: Int,
+    val need: Resources,
+    val workers: List<String>,
+    val lost: Long,
+)
+
+/** Tasks of [demand] that start, by worker in the order of the tasks. */
+internal data class Placed<K>(
+    val demand: Demand<K>,
+    val workers: List<String>,
+)
+
+/** Victims to stop so that [demand] can run on [workers]. */
+internal data class Preemption<K, V>(
+    val demand: Demand<K>,
+    val workers: List<String>,
+    val victims: List<V>,
+)
+
+/** Result of a pass. */
+internal data class Plan<K, V>(
+    val placed: List<Placed<K>>,
+    val preemptions: List<Preemption<K, V>>,
+)
+
+/** Decides what starts where. Pure: the result depends on the arguments only. */
+internal class Planner(
+    private val settings: PlannerSettings = PlannerSettings(),
+) {
+    fun <K, V> plan(
+        rooms: List<WorkerRoom>,
+        demands: List<Demand<K>>,
+        victims: List<Victim<V>>,
+    ): Plan<K, V> {
+        val pass = Pass(rooms, settings)
+        val preemption = PreemptionSearch(rooms, victims.toMutableList())
+        val placed = ArrayList<Placed<K>>()
+        val preemptions = ArrayList<Preemption<K, V>>()
+        val (withReservation, others) = demands.partition { it.reserved.isNotEmpty() }
+        withReservation.forEach { demand ->
+            if (pass.fitsReserved(demand)) placed += Placed(demand, demand.reserved)
+            pass.takeAll(demand, demand.reserved)
+        }
+        others.sortedWith(compareBy({ it.priority }, { it.order })).forEach { demand ->
+            val workers = pass.place(demand)
+            if (workers.isNotEmpty()) placed += Placed(demand, workers)
+            val missing = demand.width - workers.size
+            if (missing > 0 && demand.priority == 0) {
+                preemption.find(demand.copy(width = missing))?.let {
+                    preemptions += it
+                    pass.takeAll(demand, it.workers)
+                }
+            } else if (missing > 0) {
+                pass.holdRoomFor(demand)
+            }
+        }
+        return Plan(placed, preemptions)
+    }
+}
+
+/**
+ * Limits of a pass.
+ *
+ * @property remoteWaitMs wait after which a task may run away from its data while the service is lightly used. Below the
+ *   3 s after which idle work next to free room counts as a fault.
+ * @property remoteWaitFactor multiple of the estimate after which it may do so at any load: remote work takes three
+ *   times as long, so a shorter wait for the data's rack ends earlier.
+ * @property lightUse share of accelerators in use below which a service counts as lightly used.
+ * @property gangPatienceMs wait after which a gang keeps the room of one rack from work behind it.
+ */
+internal data class PlannerSettings(
+    val remoteWaitMs: Long = 1_500,
+    val remoteWaitFactor: Double = 2.0,
+    val lightUse: Double = 0.5,
+    val gangPatienceMs: Long = 1_000,
+)
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -0,0 +1,243 @@
+package org.orioleferry.scheduler
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.orioleferry.scheduler.callers.LookupResult
+import org.orioleferry.scheduler.callers.SubmitResult
+import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.StepSpec
+import org.orioleferry.scheduler.workers.RunEnding
+import org.orioleferry.scheduler.world.Outcome
+import org.orioleferry.scheduler.world.World
+import org.orioleferry.scheduler.world.WriteFault
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+
+class OwnerTest {
+    @Test
+    fun `should run the steps of a job in order and show it as completed`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            delay(1_000)
+            world.records.stepsBefore =
+                { task -> if (task.step == 1) List(3) { task.copy(step = 0, index = it) } else emptyList() }
+            val steps = arrayOf(StepSpec(3, World.ONE, 1_000), StepSpec(2, World.ONE, 1_000, after = listOf(0)))
+            expectThat(world.submit(one, "a", "routine", *steps)).isA<SubmitResult.Accepted>()
+            delay(3_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.runsOf("a")).hasSize(5)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against a job that is stored or run twice because the caller repeats it elsewhere.
+    @Test
+    fun `should keep one job for an id that is handed in at several instances`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            val two = world.Instance("two").also { it.start() }
+            delay(1_000)
+            world.submit(one, "a", "urgent", StepSpec(1, World.ONE, 1_000))
+            expectThat(
+                world.submit(two, "a", "urgent", StepSpec(1, World.ONE, 1_000)),
+            ).isEqualTo(SubmitResult.Accepted(isRepeat = true))
+            delay(2_000)
+            expectThat(world.submit(two, "a", "urgent", StepSpec(1, World.ONE, 1_000))).isA<SubmitResult.Accepted>()
+            delay(2_000)
+            expectThat(world.records.runsOf("a")).hasSize(1)
+        }
+
+    // Guards against a refusal of a job whose stored acceptance only lost its answer.
+    @Test
+    fun `should accept a job when the first answer of the store is lost`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one")
+            var left = 1
+            one.store.nextWrite = { if (left-- > 0) WriteFault.LOST_DONE else WriteFault.NONE }
+            expectThat(
+                world.submit(one, "a", "urgent", StepSpec(1, World.ONE)),
+            ).isEqualTo(SubmitResult.Accepted(isRepeat = true))
+        }
+
+    // Guards against saying that a job never runs while its write may still take effect.
+    @Test
+    fun `should not refuse a job after a write whose outcome is unknown`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one")
+            var left = 1
+            one.store.nextWrite = { if (left-- > 0) WriteFault.LOST_NOT_DONE else WriteFault.REFUSED }
+            expectThat(world.submit(one, "a", "urgent", StepSpec(1, World.ONE))).isA<SubmitResult.Unknown>()
+        }
+
+    // Guards against ends that the worker forgets before they are stored: the next owner would run the tasks again.
+    @Test
+    fun `should not run a done task again when the owner dies before the end is stored`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            val two = world.Instance("two").also { it.start() }
+            world.submit(
+                two,
+                "a",
+                "routine",
+                StepSpec(4, World.ONE, 1_000),
+                StepSpec(1, World.ONE, 3_000, after = listOf(0)),
+            )
+            delay(500)
+            one.store.nextWrite = { WriteFault.REFUSED }
+            delay(700)
+            one.kill()
+            delay(9_000)
+            expectThat(world.stateOf(two, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+            expectThat(world.records.runsOf("a")).hasSize(5)
+        }
+
+    // Guards against the loss of running work, and against second runs, when the owner is replaced.
+    @Test
+    fun `should adopt running tasks after a takeover`() =
+        runTest {
+            val world = World(this) { _, _ -> Outcome(5_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            val two = world.Instance("two").also { it.start() }
+            world.submit(two, "a", "routine", StepSpec(6, World.ONE, 5_000))
+            delay(1_000)
+            one.kill()
+            delay(9_000)
+            expectThat(two.isOwner).isEqualTo(true)
+            expectThat(world.stateOf(two, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.runsOf("a")).hasSize(6)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against two runs of a task whose worker is cut off and runs on, while the owner is replaced.
+    @Test
+    fun `should wait for the leases of a worker that it cannot claim`() =
+        runTest {
+            val world = World(this) { _, _ -> Outcome(60_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            val two = world.Instance("two").also { it.start() }
+            world.submit(two, "a", "routine", StepSpec(1, World.ONE, 60_000))
+            delay(1_000)
+            val busy =
+                world.records.runs
+                    .single()
+                    .worker
+            world.workers.getValue(busy).isReachable = false
+            world.delisted += busy
+            one.kill()
+            delay(30_000)
+            expectThat(world.records.violations).isEmpty()
+            expectThat(world.records.runsOf("a")).hasSize(2)
+        }
+
+    // Guards against orders of an owner whose lease has ended while it could not reach the store.
+    @Test
+    fun `should start nothing after another instance has become the owner`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            val two = world.Instance("two").also { it.start() }
+            one.store.isAway = true
+            delay(4_000)
+            expectThat(two.isOwner).isEqualTo(true)
+            world.submit(two, "a", "urgent", StepSpec(8, World.ONE, 1_000))
+            delay(3_000)
+            one.store.isAway = false
+            delay(3_000)
+            expectThat(listOf(one, two).count { it.isOwner }).isEqualTo(1)
+            expectThat(world.records.violations).isEmpty()
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+        }
+
+    @Test
+    fun `should report a job as failed after its attempts and start no further one`() =
+        runTest {
+            val world = World(this) { _, _ -> Outcome(200, RunEnding.FAILED) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(1, World.ONE, 200))
+            delay(20_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.FAILED)
+            expectThat(world.records.runsOf("a")).hasSize(3)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    @Test
+    fun `should stop what runs of a cancelled job within the bound`() =
+        runTest {
+            val world = World(this) { _, _ -> Outcome(60_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(3, World.ONE, 60_000))
+            delay(1_000)
+            val cancelledMs = world.clock.monotonicMs()
+            expectThat(one.desk.cancel("a", "team", 1_000)).isA<LookupResult.Found<Unit>>()
+            delay(3_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.CANCELLED)
+            world.records
+                .runsOf(
+                    "a",
+                ).forEach { expectThat((it.endedMs ?: Long.MAX_VALUE) - cancelledMs).isLessThan(3_000) }
+        }
+
+    // Guards against a second run when a start took effect and only its answer was lost.
+    @Test
+    fun `should count a start whose answer is lost as one run`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.workers.values.forEach { it.losesStartAnswers = 2 }
+            world.submit(one, "a", "routine", StepSpec(4, World.ONE, 1_000))
+            delay(4_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+            expectThat(world.records.runsOf("a")).hasSize(4)
+        }
+
+    // Guards against a preempted task that holds up urgent work, and against the loss of the preempted job.
+    @Test
+    fun `should preempt routine work for an urgent gang and finish both`() =
+        runTest {
+            val world = World(this, workers = 2) { task, _ -> Outcome(if (task.job == "urgent-job") 500 else 8_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "routine-job", "routine", StepSpec(16, World.ONE, 8_000))
+            delay(1_000)
+            world.submit(one, "urgent-job", "urgent", StepSpec(2, World.ONE, 500, isGang = true, sameRack = true))
+            delay(1_500)
+            expectThat(world.stateOf(one, "urgent-job")).isEqualTo(JobState.COMPLETED)
+            delay(20_000)
+            expectThat(world.stateOf(one, "routine-job")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against jobs that are missed when the store drops the history of its feed.
+    @Test
+    fun `should read the jobs anew when the history of the feed is lost`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            val two = world.Instance("two")
+            delay(500)
+            one.store.isAway = true
+            world.submit(two, "a", "routine", StepSpec(1, World.ONE, 1_000))
+            world.rows.forgetHistory()
+            one.store.isAway = false
+            delay(4_000)
+            expectThat(world.stateOf(two, "a")).isEqualTo(JobState.COMPLETED)
+        }
+}
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/RunRecords.kt
@@ -0,0 +1,74 @@
+package org.orioleferry.scheduler.world
+
+import org.orioleferry.scheduler.workers.RunEnding
+import org.orioleferry.scheduler.workers.RunId
+import org.orioleferry.scheduler.workers.StartOrder
+import org.orioleferry.scheduler.workers.TaskId
+
+/** What the workers saw, and the promises that it breaks. */
+class RunRecords {
+    data class Recorded(
+        val run: RunId,
+        val worker: String,
+        val beganMs: Long,
+        var endedMs: Long? = null,
+        var ending: RunEnding? = null,
+    )
+
+    val runs = ArrayList<Recorded>()
+    val violations = ArrayList<String>()
+    private val noted = HashSet<RunId>()
+
+    /** Earlier steps of a job, and attempts that it allows, for the checks. */
+    var stepsBefore: (TaskId) -> List<TaskId> = { emptyList() }
+    var maxAttempts = 3
+
+    fun started(
+        order: StartOrder,
+        worker: String,
+        nowMs: Long,
+    ) {
+        val task = order.run.task
+        val earlier = runs.filter { it.run.task == task }
+        if (earlier.any { it.endedMs == null }) {
+            violations +=
+                "$nowMs ms: two runs of $task at the same time, on $worker"
+        }
+        if (earlier.any { it.ending == RunEnding.DONE && it.run in noted }) {
+            violations +=
+                "$nowMs ms: $task starts after it was done"
+        }
+        if (earlier.count { it.ending == RunEnding.FAILED && it.run in noted } >=
+            maxAttempts
+        ) {
+            violations += "$nowMs ms: $task has no attempts left"
+        }
+        stepsBefore(task).forEach { before ->
+            if (runs.none { it.run.task == before && it.ending == RunEnding.DONE }) {
+                violations +=
+                    "$nowMs ms: $task starts before $before is done"
+            }
+        }
+        runs += Recorded(order.run, worker, nowMs)
+    }
+
+    fun ended(
+        run: RunId,
+        worker: String,
+        ending: RunEnding,
+        nowMs: Long,
+    ) {
+        val record = runs.last { it.run == run && it.worker == worker }
+        record.endedMs = nowMs
+        record.ending = ending
+    }
+
+    fun noted(
+        run: RunId,
+        ending: RunEnding,
+    ) {
+        if (ending == RunEnding.DONE || ending == RunEnding.FAILED) noted += run
+    }
+
+    fun runsOf(job: String): List<Recorded> = runs.filter { it.run.task.job == job }
+}
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedStore.kt
@@ -0,0 +1,128 @@
+package org.orioleferry.scheduler.world
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import org.orioleferry.scheduler.store.CommitResult
+import org.orioleferry.scheduler.store.FeedResult
+import org.orioleferry.scheduler.store.RowKey
+import org.orioleferry.scheduler.store.RowStore
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.ScanResult
+import org.orioleferry.scheduler.store.StoredRow
+
+/** What becomes of a write in a simulated run. */
+enum class WriteFault { NONE, REFUSED, LOST_DONE, LOST_NOT_DONE }
+
+/** The rows that all clients of one simulated store share. */
+class SimulatedRows {
+    private val rows = sortedMapOf<String, StoredRow>()
+    private val history = ArrayList<StoredRow>()
+    private var forgottenUpTo = 0L
+    val version = MutableStateFlow(0L)
+
+    fun scan(
+        table: String,
+        part: String,
+        from: String?,
+        until: String?,
+        limit: Int,
+    ): ScanResult.Rows {
+        val all =
+            rows.values.filter {
+                it.key.table == table &&
+                    it.key.part == part &&
+                    (from == null || it.key.key >= from) &&
+                    (until == null || it.key.key < until)
+            }
+        return ScanResult.Rows(all.take(limit), version.value, all.size > limit)
+    }
+
+    fun changes(
+        table: String,
+        after: Long,
+    ): List<StoredRow>? =
+        if (after <
+            forgottenUpTo
+        ) {
+            null
+        } else {
+            history.filter { it.key.table == table && it.version > after }
+        }
+
+    fun forgetHistory() {
+        forgottenUpTo = version.value
+    }
+
+    fun apply(transaction: RowTransaction): CommitResult {
+        val present = transaction.conditions.map { it to rows[name(it.key)] }
+        if (present.any { (condition, row) -> (row?.version ?: 0) != condition.version }) {
+            return CommitResult.Conflicted(present.mapNotNull { it.second })
+        }
+        val next = version.value + 1
+        transaction.writes.forEach { write -> put(StoredRow(write.key, write.value, next)) }
+        transaction.removals.forEach { key ->
+            rows.remove(name(key))
+            history += StoredRow(key, "", next, isDeleted = true)
+        }
+        version.value = next
+        return CommitResult.Committed(next)
+    }
+
+    private fun put(row: StoredRow) {
+        rows[name(row.key)] = row
+        history += row
+    }
+
+    private fun name(key: RowKey): String = "${key.table}|${key.part}|${key.key}"
+}
+
+/** One instance's connection to the store; faults are set for each instance. */
+class SimulatedStore(
+    private val rows: SimulatedRows,
+) : RowStore {
+    var isAway = false
+    var nextWrite: () -> WriteFault = { WriteFault.NONE }
+    var writes = 0
+
+    override suspend fun scan(
+        table: String,
+        part: String,
+        from: String?,
+        until: String?,
+        limit: Int,
+    ): ScanResult {
+        delay(ANSWER_MS)
+        return if (isAway) ScanResult.Unavailable("away") else rows.scan(table, part, from, until, limit)
+    }
+
+    override suspend fun feed(
+        table: String,
+        after: Long,
+        waitMs: Int,
+    ): FeedResult {
+        delay(ANSWER_MS)
+        if (isAway) return FeedResult.Unavailable("away")
+        withTimeoutOrNull(waitMs.toLong()) { rows.version.first { rows.changes(table, after)?.isNotEmpty() ?: true } }
+        if (isAway) return FeedResult.Unavailable("away")
+        val changes = rows.changes(table, after) ?: return FeedResult.HistoryLost
+        return FeedResult.Changes(changes, rows.version.value)
+    }
+
+    override suspend fun commit(transaction: RowTransaction): CommitResult {
+        delay(ANSWER_MS)
+        if (isAway) return CommitResult.Unavailable("away")
+        writes++
+        return when (nextWrite()) {
+            WriteFault.NONE -> rows.apply(transaction)
+            WriteFault.REFUSED -> CommitResult.Unavailable("refused")
+            WriteFault.LOST_DONE -> CommitResult.Unknown("lost").also { rows.apply(transaction) }
+            WriteFault.LOST_NOT_DONE -> CommitResult.Unknown("lost")
+        }
+    }
+
+    private companion object {
+        const val ANSWER_MS = 5L
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedWorker.kt
@@ -0,0 +1,162 @@
+package org.orioleferry.scheduler.world
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.orioleferry.core.Clock
+import org.orioleferry.scheduler.model.Resources
+import org.orioleferry.scheduler.workers.HoldResult
+import org.orioleferry.scheduler.workers.ListedEnd
+import org.orioleferry.scheduler.workers.ListedWorker
+import org.orioleferry.scheduler.workers.PresentRun
+import org.orioleferry.scheduler.workers.RunEnding
+import org.orioleferry.scheduler.workers.RunId
+import org.orioleferry.scheduler.workers.StartOrder
+import org.orioleferry.scheduler.workers.StartRefusal
+import org.orioleferry.scheduler.workers.StartResult
+import org.orioleferry.scheduler.workers.StopResult
+import org.orioleferry.scheduler.workers.TaskId
+
+/** How long a run of a task takes and how it ends. */
+data class Outcome(
+    val workMs: Long,
+    val ending: RunEnding = RunEnding.DONE,
+)
+
+/** A worker that keeps to the platform's rules for runs, leases, ends and fencing tokens. */
+class SimulatedWorker(
+    val id: String,
+    val rack: String,
+    private val room: Resources,
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val records: RunRecords,
+    private val outcomeOf: (TaskId, Int) -> Outcome,
+) {
+    private class Present(
+        val order: StartOrder,
+        val outcome: Outcome,
+        val beganMs: Long,
+    )
+
+    private val runs = LinkedHashMap<RunId, Present>()
+    private val ends = ArrayList<ListedEnd>()
+    private val closedAttempts = HashMap<TaskId, Int>()
+    private var endNumber = 0L
+    private var token = 0L
+    private var deadlineMs = 0L
+    private val endSignal = MutableStateFlow(0L)
+    private var life = 0
+
+    /** Whether calls reach the worker; its runs go on while they do not. */
+    var isReachable = true
+    var isDraining = false
+    var needOf: (StartOrder) -> Resources = { Resources(1_000, 1_000, 1) }
+    var losesStartAnswers = 0
+
+    fun listed(): ListedWorker =
+        ListedWorker(id, id, "pool", "dc", rack, setOf("a", rack), room, 1_000L + life, isDraining)
+
+    fun crash() {
+        runs.keys.forEach { records.ended(it, id, RunEnding.STOPPED, clock.monotonicMs()) }
+        runs.clear()
+        ends.clear()
+        closedAttempts.clear()
+        endNumber = 0
+        token = 0
+        deadlineMs = 0
+        life++
+    }
+
+    fun start(order: StartOrder): StartResult {
+        if (order.fence < token) return StartResult.Refused(StartRefusal.FENCED)
+        token = maxOf(token, order.fence)
+        if (order.deadlineMs <= clock.monotonicMs()) return StartResult.Refused(StartRefusal.LATE)
+        deadlineMs = maxOf(deadlineMs, order.deadlineMs)
+        if (order.run in runs) return StartResult.Started
+        if (order.run.attempt <=
+            (closedAttempts[order.run.task] ?: 0)
+        ) {
+            return StartResult.Refused(StartRefusal.OLD_ATTEMPT)
+        }
+        val used = runs.values.fold(Resources()) { sum, run -> sum + needOf(run.order) }
+        if (!needOf(order).fitsIn(room - used)) return StartResult.Refused(StartRefusal.NO_ROOM)
+        val outcome = outcomeOf(order.run.task, order.run.attempt)
+        runs[order.run] = Present(order, outcome, clock.monotonicMs())
+        records.started(order, id, clock.monotonicMs())
+        scope.launch { work(order.run, outcome) }
+        if (losesStartAnswers > 0) {
+            losesStartAnswers--
+            return StartResult.Unknown("answer lost")
+        }
+        return StartResult.Started
+    }
+
+    private suspend fun work(
+        run: RunId,
+        outcome: Outcome,
+    ) {
+        val began = life
+        val endMs = clock.monotonicMs() + outcome.workMs
+        while (life == began && run in runs) {
+            val now = clock.monotonicMs()
+            if (now >= deadlineMs) return end(run, RunEnding.LAPSED)
+            if (now >= endMs) return end(run, outcome.ending)
+            delay(minOf(endMs, deadlineMs) - now)
+        }
+    }
+
+    private fun end(
+        run: RunId,
+        ending: RunEnding,
+    ) {
+        runs.remove(run) ?: return
+        closedAttempts.merge(run.task, run.attempt, ::maxOf)
+        ends += ListedEnd(++endNumber, run, ending, "")
+        records.ended(run, id, ending, clock.monotonicMs())
+        endSignal.value = endSignal.value + 1
+    }
+
+    fun stop(
+        run: RunId,
+        fence: Long,
+    ): StopResult {
+        if (fence < token) return StopResult.FENCED
+        token = maxOf(token, fence)
+        closedAttempts.merge(run.task, run.attempt, ::maxOf)
+        scope.launch {
+            delay(STOP_MS)
+            end(run, RunEnding.STOPPED)
+        }
+        return StopResult.ACCEPTED
+    }
+
+    suspend fun hold(
+        fence: Long,
+        lastSeen: Long,
+        newDeadlineMs: Long?,
+        waitMs: Int,
+    ): HoldResult {
+        if (fence < token) return HoldResult.Fenced
+        token = maxOf(token, fence)
+        newDeadlineMs?.let { deadlineMs = maxOf(deadlineMs, it) }
+        ends.filter { it.number <= lastSeen }.forEach { records.noted(it.id, it.ending) }
+        ends.removeAll { it.number <= lastSeen }
+        if (ends.isEmpty() && waitMs > 0) {
+            val seen = endSignal.value
+            withTimeoutOrNull(waitMs.toLong()) { endSignal.first { it != seen } }
+        }
+        val present = runs.map { (run, state) -> PresentRun(run, "", percentOf(state)) }
+        return HoldResult.Held(clock.monotonicMs(), 1_000L + life, present, ends.toList())
+    }
+
+    private fun percentOf(state: Present): Double =
+        100.0 * (clock.monotonicMs() - state.beganMs) / maxOf(1, state.outcome.workMs)
+
+    private companion object {
+        const val STOP_MS = 100L
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
@@ -0,0 +1,179 @@
+package org.orioleferry.scheduler.world
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.orioleferry.core.Clock
+import org.orioleferry.scheduler.DecisionLog
+import org.orioleferry.scheduler.SchedulerSettings
+import org.orioleferry.scheduler.callers.JobDesk
+import org.orioleferry.scheduler.callers.LookupResult
+import org.orioleferry.scheduler.callers.SubmitResult
+import org.orioleferry.scheduler.model.JobSpec
+import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.Manifest
+import org.orioleferry.scheduler.model.Queue
+import org.orioleferry.scheduler.model.Resources
+import org.orioleferry.scheduler.model.Service
+import org.orioleferry.scheduler.model.StepSpec
+import org.orioleferry.scheduler.model.Workspace
+import org.orioleferry.scheduler.owner.Election
+import org.orioleferry.scheduler.owner.OwnerParts
+import org.orioleferry.scheduler.owner.leadTerm
+import org.orioleferry.scheduler.workers.DirectoryResult
+import org.orioleferry.scheduler.workers.HoldResult
+import org.orioleferry.scheduler.workers.ListedWorker
+import org.orioleferry.scheduler.workers.RunId
+import org.orioleferry.scheduler.workers.StartOrder
+import org.orioleferry.scheduler.workers.StartResult
+import org.orioleferry.scheduler.workers.StopResult
+import org.orioleferry.scheduler.workers.TaskId
+import org.orioleferry.scheduler.workers.WorkerDirectory
+import org.orioleferry.scheduler.workers.WorkerLink
+
+/** Virtual time of a test. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class VirtualClock(
+    private val scope: TestScope,
+) : Clock {
+    override fun monotonicMs(): Long = scope.currentTime
+
+    override fun wallMs(): Long = EPOCH_MS + scope.currentTime
+
+    companion object {
+        const val EPOCH_MS = 1_700_000_000_000L
+    }
+}
+
+/** Some instances, one store and some workers, in virtual time. */
+class World(
+    private val scope: TestScope,
+    workers: Int = 4,
+    outcomeOf: (TaskId, Int) -> Outcome = { _, _ -> Outcome(1_000) },
+) {
+    val clock = VirtualClock(scope)
+    val rows = SimulatedRows()
+    val records = RunRecords()
+    private val background: CoroutineScope = scope.backgroundScope
+    val workers =
+        List(workers) {
+            SimulatedWorker("w$it", "r${it / 2}", WORKER_ROOM, background, clock, records, outcomeOf)
+        }.associateBy { it.id }
+    val delisted = HashSet<String>()
+    var manifest =
+        Manifest(
+            version = 1,
+            queues =
+                listOf(
+                    Queue("urgent", "host", "/urgent/", "pool", 0, 3, 1.5, 250, 3_000, isPublic = false),
+                    Queue("routine", "host", "/routine/", "pool", 2, 3, 3.0, 3_000, 3_000, isPublic = false),
+                ),
+            services = listOf(Service("pool", guardsCapacity = true)),
+            workspaces = listOf(Workspace("team", setOf("key"), 8)),
+            maxBodyBytes = 10_000,
+        )
+
+    /** One entry instance. */
+    inner class Instance(
+        val name: String,
+    ) {
+        val store = SimulatedStore(rows)
+        val desk = JobDesk(store, clock, NO_LOG)
+        val link = Link()
+        private val settings = SchedulerSettings(name, "dc")
+        private val parts = OwnerParts(store, link, { Directory(this) }, { manifest }, clock, settings, NO_LOG)
+        val election = Election(store, clock, settings, NO_LOG) { leadTerm(parts, it) }
+        private var work: Job? = null
+
+        fun start() {
+            work = background.launch { election.run() }
+        }
+
+        fun kill() {
+            work?.cancel()
+        }
+
+        val isOwner: Boolean get() = election.current != null
+    }
+
+    /** Calls of one instance to the workers. */
+    inner class Link : WorkerLink {
+        var isCut = false
+
+        /** Called before each start; a test may delay or drop it. */
+        var onStart: suspend (StartOrder) -> Unit = {}
+
+        override suspend fun hold(
+            worker: ListedWorker,
+            fence: Long,
+            lastSeen: Long,
+            deadlineMs: Long?,
+            waitMs: Int,
+        ): HoldResult {
+            val target = reach(worker) ?: return HoldResult.Unreachable("cut off")
+            val result = target.hold(fence, lastSeen, deadlineMs, waitMs)
+            return if (reach(worker) == null) HoldResult.Unreachable("cut off") else result
+        }
+
+        override suspend fun start(
+            worker: ListedWorker,
+            order: StartOrder,
+        ): StartResult {
+            onStart(order)
+            val target = reach(worker) ?: return StartResult.Unknown("cut off")
+            return target.start(order)
+        }
+
+        override suspend fun stop(
+            worker: ListedWorker,
+            run: RunId,
+            fence: Long,
+        ): StopResult = reach(worker)?.stop(run, fence) ?: StopResult.UNKNOWN
+
+        private suspend fun reach(worker: ListedWorker): SimulatedWorker? {
+            delay(1)
+            val target = workers.getValue(worker.id)
+            if (!isCut && target.isReachable) return target
+            delay(LOST_CALL_MS)
+            return null
+        }
+    }
+
+    private inner class Directory(
+        private val instance: Instance,
+    ) : WorkerDirectory {
+        override suspend fun refresh(): DirectoryResult {
+            delay(5)
+            if (instance.store.isAway) return DirectoryResult.Unavailable("away")
+            return DirectoryResult.Listed(
+                workers.values
+                    .filter { it.id !in delisted }
+                    .map { it.listed() }
+                    .associateBy { it.id },
+            )
+        }
+    }
+
+    suspend fun submit(
+        instance: Instance,
+        id: String,
+        queue: String,
+        vararg steps: StepSpec,
+    ): SubmitResult = instance.desk.submit(JobSpec(id, queue, "pool", "team", "payload", steps.toList()), 2_000)
+
+    suspend fun stateOf(
+        instance: Instance,
+        id: String,
+    ): JobState? = (instance.desk.state(id, "team") as? LookupResult.Found)?.value
+
+    companion object {
+        val WORKER_ROOM = Resources(32_000, 128_000, 8)
+        val ONE = Resources(1_000, 1_000, 1)
+        const val LOST_CALL_MS = 700L
+        val NO_LOG = DecisionLog { _, _, _ -> }
+    }
+}
