Settle what ran on lost workers, and record starts before they are sent

(1) Each unanswered hold call moved the highest deadline of the worker forward, so the lease of a worker that had gone never counted as run out and its tasks never started again. (2) After the closing fault one worker that had left kept every task of every inherited job waiting for 14 s, since the owner could not tell where tasks ran.

Ruled out: treating a refused connection as the end of a worker, since cuts may refuse connections while the worker runs on.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -22,7 +22,7 @@
     val dataCentre: String,
     val leaseTtlMs: Long = 2_600,
     val renewMs: Long = 850,
-    val holdLimitMs: Long = 10_000,
+    val holdLimitMs: Long = 7_000,
     val runLeaseMs: Long = 6_000,
     val longHoldMs: Int = 2_000,
     val clockSlowdown: Double = 0.98,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -4,6 +4,7 @@
 import org.orioleferry.scheduler.model.JobProgress
 import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.model.Resources
+import org.orioleferry.scheduler.model.StartedRun
 import org.orioleferry.scheduler.model.StepProgress
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.workers.RunId
@@ -53,6 +54,9 @@
     var lastAttempt = 0
     var run: Run? = null
 
+    /** Worker on which an earlier owner may have left a run; nothing is started before that is settled. */
+    var suspectedOn = ""
+
     /** Monotonic time before which the task is not started again. */
     var notBeforeMs = 0L
 }
@@ -103,8 +107,6 @@
     /** Whether a task has ever started. */
     var hasBegun: Boolean = state != JobState.QUEUED
 
-    /** Whether the previous owner may have started tasks of the job. */
-    var isInherited = false
     private val occurrences = sortedMapOf<Int, List<StepRun>>()
     private val finished = HashSet<Int>()
 
@@ -166,10 +168,13 @@
                 it.id.index to
                     it.checkpoint
             }
-        if (done.isEmpty() && failures.isEmpty() && checkpoints.isEmpty()) return null
-        return StepProgress(step.occurrence, step.index, false, done, failures, checkpoints)
+        val started = step.tasks.filter { it.lastAttempt > 0 && !it.isDone }.associate { it.id.index to startOf(it) }
+        if (done.isEmpty() && failures.isEmpty() && checkpoints.isEmpty() && started.isEmpty()) return null
+        return StepProgress(step.occurrence, step.index, false, done, failures, checkpoints, started)
     }
 
+    private fun startOf(task: Task) = StartedRun(task.lastAttempt, task.run?.session?.id ?: task.suspectedOn)
+
     private fun restore(stored: StepProgress) {
         if (stored.step == WHOLE_OCCURRENCE) {
             finished += stored.occurrence
@@ -180,6 +185,9 @@
             if (stored.isDone || task.id.index in stored.done) step.markDone(task)
             task.failedAttempts += stored.failures[task.id.index].orEmpty()
             task.checkpoint = stored.checkpoints[task.id.index] ?: ""
+            val started = stored.started[task.id.index]
+            task.lastAttempt = maxOf(started?.attempt ?: 0, task.failedAttempts.lastOrNull() ?: 0)
+            if (!task.isDone) task.suspectedOn = started?.worker.orEmpty()
         }
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobBook.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobBook.kt
@@ -20,9 +20,6 @@
     val live: Collection<Job> get() = liveJobs.values
     private val liveJobs = LinkedHashMap<String, Job>()
 
-    /** Attempts of this epoch begin above those that any earlier owner may have used. */
-    val attemptBase: Int = ((ownership.epoch - 1) * ATTEMPTS_PER_EPOCH).toInt()
-
     operator fun get(id: String): Job? = jobs[id]
 
     fun load(
@@ -30,7 +27,7 @@
         progress: List<StoredRow>,
     ) {
         val byId = progress.associateBy { it.key.key }
-        accepted.forEach { row -> add(row, byId[row.key.key])?.isInherited = row.version <= ownership.fenceVersion }
+        accepted.forEach { row -> add(row, byId[row.key.key]) }
     }
 
     private fun add(
@@ -77,6 +74,14 @@
         return known.takeIf { accepted.isCancelled && !known.state.isEnded }
     }
 
+    /** Tasks that an earlier owner may have left on a worker. */
+    fun suspected(): List<Task> =
+        live
+            .flatMap { job ->
+                job.openSteps
+            }.flatMap { it.tasks }
+            .filter { it.suspectedOn.isNotEmpty() }
+
     /** Ends [job]; the state is shown once it is stored. */
     fun end(
         job: Job,
@@ -118,9 +123,6 @@
     }
 
     private companion object {
-        // More than the starts that one owner can order of a task before it gives the job up.
-        const val ATTEMPTS_PER_EPOCH = 1_000L
-
         // Callers may ask a little later than promised.
         const val PURGE_SLACK_MS = 30_000L
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -53,7 +53,7 @@
             val fleet = Fleet(parts, ownership, runs, this)
             val placement = Placement(parts, ownership, book, fleet, runs)
             writer.onStored = { fleet.wakeWaiting() }
-            val jobsVersion = load(fleet)
+            val jobsVersion = load()
             launch { writer.run() }
             launch { fleet.follow { planSignal.trySend(Unit) } }
             launch { QueueLengths(parts, ownership, book).publish() }
@@ -63,14 +63,13 @@
         }
 
     /** Reads everything that is stored; retries until the store answers. Returns the version to follow jobs from. */
-    private suspend fun load(fleet: Fleet): Long {
+    private suspend fun load(): Long {
         while (true) {
             val scans =
                 coroutineScope {
                     val jobs = (0 until Rows.JOB_PARTS).map { async { store.scanAll(Rows.JOBS, it.toString()) } }
                     val progress = async { store.scanAll(Rows.PROGRESS, Rows.OWNER_PART) }
-                    val inUse = async { fleet.loadInUse() }
-                    if (inUse.await()) jobs.awaitAll() + progress.await() else emptyList()
+                    jobs.awaitAll() + progress.await()
                 }
             val read = scans.filterIsInstance<ScanResult.Rows>()
             if (read.size == Rows.JOB_PARTS + 1) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -29,9 +29,8 @@
 
     fun pass() {
         val manifest = parts.manifest() ?: return
-        val isClear = fleet.isTakeoverClear()
         nextDueMs = Long.MAX_VALUE
-        val steps = book.live.filter { isClear || !it.isInherited }.flatMap { ready(it) }
+        val steps = book.live.flatMap { ready(it) }
         val demands = steps.mapNotNull { demandOf(it, manifest) }
         hasWaiting = demands.isNotEmpty()
         if (demands.isEmpty()) return
@@ -74,7 +73,8 @@
         return open.filter { schedule.dueMs(it) <= now }
     }
 
-    private fun Task.isWaiting(): Boolean = !isDone && run == null && clock.monotonicMs() >= notBeforeMs
+    private fun Task.isWaiting(): Boolean =
+        !isDone && run == null && suspectedOn.isEmpty() && clock.monotonicMs() >= notBeforeMs
 
     private fun demandOf(
         step: StepRun,
@@ -85,7 +85,10 @@
         val waiting = step.tasks.filter { it.isWaiting() }
         val spec = step.spec
         // A gang starts again only when no member of an earlier attempt is left.
-        if (spec.isGang && waiting.size < spec.count) return null
+        if (spec.isGang && waiting.size < spec.count) {
+            if (step.tasks.none { it.suspectedOn.isNotEmpty() }) runs.stopIncomplete(step)
+            return null
+        }
         val queue = manifest.queue(step.job.accepted.spec.queue)
         val isReserved =
             step.reserved.size == waiting.size &&
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWriter.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWriter.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import org.orioleferry.scheduler.DecisionLog
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.store.CommitResult
@@ -27,9 +29,10 @@
     private var sequence = 0L
     private var writing: Long? = null
 
+    private val stored = MutableStateFlow(0L)
+
     /** All changes up to this number are stored. */
-    var storedSequence = 0L
-        private set
+    val storedSequence: Long get() = stored.value
 
     /** Called after each group that was stored. */
     var onStored: () -> Unit = {}
@@ -45,6 +48,11 @@
     /** Number of the latest change. */
     val latest: Long get() = sequence
 
+    /** Waits until the change [number] is stored. */
+    suspend fun awaitStored(number: Long) {
+        stored.first { it >= number }
+    }
+
     /** Writes until cancelled. */
     suspend fun run() {
         while (true) {
@@ -63,7 +71,7 @@
             is CommitResult.Committed -> {
                 group.forEach { it.progressVersion = result.version }
                 writing = null
-                storedSequence = dirty.values.firstOrNull()?.let { it - 1 } ?: upTo
+                stored.value = dirty.values.firstOrNull()?.let { it - 1 } ?: upTo
                 onStored()
             }
             is CommitResult.Conflicted -> resolve(group, result)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -37,16 +37,21 @@
         run.checkpoint = task.checkpoint
         attach(run)
         task.lastAttempt = attempt
-        if (!task.step.job.hasBegun) {
-            task.step.job.hasBegun = true
-            task.step.job.state = JobState.RUNNING
-            writer.mark(task.step.job)
+        val job = task.step.job
+        if (!job.hasBegun) {
+            job.hasBegun = true
+            job.state = JobState.RUNNING
+        }
+        val recorded = writer.mark(job)
+        scope.launch {
+            // The next owner has to know where a run may be before it can be there.
+            writer.awaitStored(recorded)
+            deliver(run)
         }
-        scope.launch { deliver(run) }
     }
 
     /** Next attempt of [task]: above every earlier one, those of former owners included. */
-    fun nextAttempt(task: Task): Int = maxOf(task.lastAttempt, book.attemptBase) + 1
+    fun nextAttempt(task: Task): Int = task.lastAttempt + 1
 
     private suspend fun deliver(run: Run) {
         var result: StartResult = StartResult.Unknown("not sent")
@@ -250,8 +255,7 @@
     ) {
         val job = book[present.id.task.job]
         val task = job?.task(present.id.task)
-        val isWanted = job != null && job.isLive && task != null && !task.isDone && task.run == null
-        if (!isWanted) {
+        if (job == null || task == null || !isLeftBehind(job, task, session, present.id)) {
             log.record(SchedulerEvent.RUN_FOREIGN, name(present.id), "worker" to session.id, "known" to (task != null))
             scope.launch { parts.link.stop(session.listed, present.id, ownership.epoch) }
             return
@@ -260,13 +264,47 @@
         run.checkpoint = present.checkpoint
         run.percent = present.percent
         run.confirmedAtMs = clock.monotonicMs()
-        task.lastAttempt = maxOf(task.lastAttempt, present.id.attempt)
         attach(run)
         job.hasBegun = true
+        task.suspectedOn = ""
         log.record(SchedulerEvent.RUN_ADOPTED, name(present.id), "worker" to session.id, "percent" to present.percent)
         session.wake()
     }
 
+    /** Whether the run is the recorded one of an earlier owner and its task is still to be done. */
+    private fun isLeftBehind(
+        job: Job,
+        task: Task,
+        session: WorkerSession,
+        run: RunId,
+    ): Boolean =
+        job.isLive &&
+            !task.isDone &&
+            task.run == null &&
+            task.suspectedOn == session.id &&
+            task.lastAttempt == run.attempt
+
+    /** Everything that earlier owners started on the worker [id] is known or gone. */
+    fun onWorkerSettled(id: String) {
+        book.suspected().filter { it.suspectedOn == id }.forEach { it.suspectedOn = "" }
+        replan()
+    }
+
+    /** No lease that an earlier owner granted can be left. */
+    fun onEarlierLeasesLapsed() {
+        val open = book.suspected()
+        log.record(SchedulerEvent.TAKEOVER_CLEAR, parts.settings.instance, "tasks" to open.size)
+        open.forEach { it.suspectedOn = "" }
+        replan()
+    }
+
+    /** Stops the members of a gang that can no longer become whole. */
+    fun stopIncomplete(step: StepRun) {
+        step.tasks.forEach { task -> task.run?.let { stop(it, "the gang is incomplete") } }
+    }
+
+    override fun onClaimed(session: WorkerSession) = onWorkerSettled(session.id)
+
     override fun onGone(
         run: Run,
         reason: String,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -35,6 +35,9 @@
         reason: String,
     )
 
+    /** The worker has taken the fencing token, and all that it runs has been reported. */
+    fun onClaimed(session: WorkerSession)
+
     /** The worker's list was read; room and progress may have changed. */
     fun onListed(session: WorkerSession)
 
@@ -131,7 +134,7 @@
         val hasUnstored = pendingEnds.any { it.first > lastSeen }
         val waitMs = if (isClaimed && runs.isNotEmpty() && !hasUnstored) settings.longHoldMs else 0
         val sentAtMs = clock.monotonicMs()
-        val deadlineMs = if (isClaimed && runs.isNotEmpty()) nextDeadlineMs() else null
+        val deadlineMs = if (isClaimed && runs.isNotEmpty() && mayExtend(sentAtMs)) nextDeadlineMs() else null
         val life = listed.bornMs
         when (val result = link.hold(listed, ownership.epoch, lastSeen, deadlineMs, waitMs)) {
             is HoldResult.Held -> if (life == listed.bornMs) onHeld(result, sentAtMs, lastSeen)
@@ -152,6 +155,10 @@
         }
     }
 
+    // An unanswered call may extend the lease all the same, so the leases of an unreachable worker must be left to end.
+    private fun mayExtend(nowMs: Long): Boolean =
+        unreachableSinceMs < 0 || nowMs - unreachableSinceMs < EXTENDED_UNREACHED_MS
+
     private suspend fun onHeld(
         held: HoldResult.Held,
         sentAtMs: Long,
@@ -186,6 +193,7 @@
                 "present" to present.size,
                 "ends" to held.ends.size,
             )
+            listener.onClaimed(this)
         }
         listener.onListed(this)
         awaitStored()
@@ -242,7 +250,8 @@
         wake()
     }
 
-    private fun endLife(reason: String) {
+    /** Ends all runs: this life of the worker is over, or its leases have run out. */
+    fun endLife(reason: String) {
         isClaimed = false
         processedEnd = 0
         acknowledgedEnd = 0
@@ -258,6 +267,9 @@
         const val QUICK_RETRY_MS = 3_000L
         const val SLOW_RETRY_MS = 500L
 
+        // Two lost calls are survived; after that the work is better started elsewhere.
+        const val EXTENDED_UNREACHED_MS = 1_500L
+
         // Leases are still extended this often while the store does not take ends.
         const val UNSTORED_PAUSE_MS = 1_000L
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/Rows.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/Rows.kt
@@ -13,7 +13,7 @@
     /** What the owner stores of jobs. */
     public const val PROGRESS: String = "progress"
 
-    /** Ownership, fence, workers in use and queue lengths. */
+    /** Ownership and fence. */
     public const val OWNER: String = "owner"
 
     /** A part takes 200 transactions a second; the bursts of the sweep at 300 machines stay below 8 x 200. */
@@ -27,9 +27,6 @@
     /** Changes only with the owner, so that renewals do not disturb transactions that check it. */
     public val fence: RowKey = RowKey(OWNER, OWNER_PART, "fence")
 
-    /** Workers on which the owner may have started something. */
-    public val workersInUse: RowKey = RowKey(OWNER, OWNER_PART, "workers")
-
     /** Jobs of each queue that have not begun. */
     public val queueLengths: RowKey = RowKey("queues", OWNER_PART, "lengths")
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
@@ -164,10 +164,15 @@
     public suspend fun refresh(): DirectoryResult
 }
 
-/** Result of reading the directory: all workers that are listed now. */
+/** Result of reading the directory. */
 public sealed interface DirectoryResult {
+    /**
+     * All [workers] that are listed now, by id, and those that have [left] on their own since the last call. A worker that
+     * merely fell silent is neither: it may run on behind a cut.
+     */
     public data class Listed(
         val workers: Map<String, ListedWorker>,
+        val left: Set<String> = emptySet(),
     ) : DirectoryResult
 
     public data class Unavailable(
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -240,4 +240,43 @@
             delay(4_000)
             expectThat(world.stateOf(two, "a")).isEqualTo(JobState.COMPLETED)
         }
+
+    // Guards against leases that are extended without end at a worker that has gone, so that its tasks never start again.
+    @Test
+    fun `should start a task again when its worker has gone without a word`() =
+        runTest {
+            val world = World(this) { _, _ -> Outcome(3_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(1, World.ONE, 3_000))
+            delay(1_000)
+            val gone =
+                world.records.runs
+                    .single()
+                    .worker
+            world.workers.getValue(gone).crash()
+            world.workers.getValue(gone).isReachable = false
+            world.delisted += gone
+            delay(14_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against a takeover that waits for one lost worker before it starts anything.
+    @Test
+    fun `should start tasks that never ran at once after a takeover although a worker is lost`() =
+        runTest {
+            val world = World(this, workers = 2) { _, _ -> Outcome(4_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            val two = world.Instance("two").also { it.start() }
+            world.submit(two, "a", "routine", StepSpec(24, World.ONE, 4_000))
+            delay(1_000)
+            world.workers.getValue("w0").isReachable = false
+            world.delisted += "w0"
+            one.kill()
+            delay(7_000)
+            expectThat(world.records.runs.count { it.worker == "w1" }).isEqualTo(16)
+            expectThat(world.records.violations).isEmpty()
+        }
 }
