--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobDesk.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobDesk.kt
@@ -55,6 +55,7 @@
     private val store: RowStore,
     private val clock: Clock,
     private val log: DecisionLog,
+    private val isStoreAway: () -> Boolean = { false },
 ) {
     private val endedStates = EndedStates()
     private var lengths: Map<String, Int> = emptyMap()
@@ -65,7 +66,8 @@
         spec: JobSpec,
         deadlineMs: Long,
     ): SubmitResult {
-        val endMs = clock.monotonicMs() + deadlineMs
+        if (isStoreAway()) return SubmitResult.NotAccepted(AWAY)
+        val endMs = clock.monotonicMs() + minOf(deadlineMs, LONGEST_WAIT_MS)
         val key = Rows.job(spec.id)
         val value = Rows.encode(AcceptedJob(spec, clock.wallMs()))
         val write = RowTransaction(listOf(RowCondition(key, 0)), listOf(RowWrite(key, value)))
@@ -77,8 +79,8 @@
                 is CommitResult.Unavailable -> if (!isUncertain) return SubmitResult.NotAccepted(result.reason)
                 is CommitResult.Unknown -> isUncertain = true
             }
-            if (clock.monotonicMs() >= endMs) {
-                log.record(SchedulerEvent.JOB_OUTCOME_UNKNOWN, spec.id, "waitedMs" to deadlineMs)
+            if (isStoreAway() || clock.monotonicMs() >= endMs) {
+                log.record(SchedulerEvent.JOB_OUTCOME_UNKNOWN, spec.id, "away" to isStoreAway())
                 return SubmitResult.Unknown("the store did not answer in time")
             }
             delay(RETRY_MS)
@@ -121,6 +123,7 @@
         workspace: String,
     ): LookupResult<JobState> {
         endedStates[id]?.let { (owner, state) -> return visible(owner, workspace, state) }
+        if (isStoreAway()) return LookupResult.Unavailable(AWAY)
         return when (val progress = readRow { store.read(Rows.progress(id)) }) {
             is LookupResult.Found -> {
                 val stored = Rows.decodeProgress(progress.value.value) ?: return unreadable(progress.value)
@@ -166,8 +169,9 @@
         workspace: String,
         deadlineMs: Long,
     ): LookupResult<Unit> {
-        val endMs = clock.monotonicMs() + deadlineMs
+        val endMs = clock.monotonicMs() + minOf(deadlineMs, LONGEST_WAIT_MS)
         while (true) {
+            if (isStoreAway()) return LookupResult.Unavailable(AWAY)
             val row =
                 when (val read = readRow { store.read(Rows.job(id)) }) {
                     is LookupResult.Found -> read.value
@@ -200,6 +204,7 @@
     public suspend fun waiting(queue: String): Int? {
         val now = clock.monotonicMs()
         if (now - lengthsReadAtMs > LENGTHS_KEPT_MS) {
+            if (isStoreAway()) return null
             val scan = store.read(Rows.queueLengths) as? ScanResult.Rows ?: return null
             val value = scan.rows.firstOrNull()?.value ?: "{}"
             lengths = Rows.json.decodeFromString(MapSerializer(String.serializer(), Int.serializer()), value)
@@ -222,6 +227,10 @@
 
     private companion object {
         const val RETRY_MS = 60L
+        const val AWAY = "the store does not answer this instance"
+
+        // Leaves the caller half of its usual 3 s for another instance.
+        const val LONGEST_WAIT_MS = 1_400L
         const val READ_TRIES = 2
 
         // With the owner's period of 0.8 s the value is less than 2 s old.
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -279,4 +279,19 @@
             expectThat(world.records.runs.count { it.worker == "w1" }).isEqualTo(16)
             expectThat(world.records.violations).isEmpty()
         }
+
+    // Guards against callers that are held until their deadline while the store is known to be away.
+    @Test
+    fun `should refuse a job at once while the store is away`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            one.store.isAway = true
+            delay(1_500)
+            val before = world.clock.monotonicMs()
+            expectThat(world.submit(one, "a", "urgent", StepSpec(1, World.ONE))).isA<SubmitResult.NotAccepted>()
+            expectThat(one.desk.state("b", "team")).isA<LookupResult.Unavailable>()
+            expectThat(world.clock.monotonicMs() - before).isEqualTo(0)
+        }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedStore.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedStore.kt
@@ -10,6 +10,7 @@
 import org.orioleferry.scheduler.store.RowStore
 import org.orioleferry.scheduler.store.RowTransaction
 import org.orioleferry.scheduler.store.ScanResult
+import org.orioleferry.scheduler.store.StoreHealth
 import org.orioleferry.scheduler.store.StoredRow
 
 /** What becomes of a write in a simulated run. */
@@ -81,6 +82,7 @@
 /** One instance's connection to the store; faults are set for each instance. */
 class SimulatedStore(
     private val rows: SimulatedRows,
+    private val health: StoreHealth,
 ) : RowStore {
     var isAway = false
     var nextWrite: () -> WriteFault = { WriteFault.NONE }
@@ -94,6 +96,7 @@
         limit: Int,
     ): ScanResult {
         delay(ANSWER_MS)
+        health.note(!isAway, "simulated")
         return if (isAway) ScanResult.Unavailable("away") else rows.scan(table, part, from, until, limit)
     }
 
@@ -103,6 +106,7 @@
         waitMs: Int,
     ): FeedResult {
         delay(ANSWER_MS)
+        health.note(!isAway, "simulated")
         if (isAway) return FeedResult.Unavailable("away")
         withTimeoutOrNull(waitMs.toLong()) { rows.version.first { rows.changes(table, after)?.isNotEmpty() ?: true } }
         if (isAway) return FeedResult.Unavailable("away")
@@ -112,6 +116,7 @@
 
     override suspend fun commit(transaction: RowTransaction): CommitResult {
         delay(ANSWER_MS)
+        health.note(!isAway, "simulated")
         if (isAway) return CommitResult.Unavailable("away")
         writes++
         return when (nextWrite()) {
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
@@ -24,6 +24,7 @@
 import org.orioleferry.scheduler.owner.Election
 import org.orioleferry.scheduler.owner.OwnerParts
 import org.orioleferry.scheduler.owner.leadTerm
+import org.orioleferry.scheduler.store.StoreHealth
 import org.orioleferry.scheduler.workers.DirectoryResult
 import org.orioleferry.scheduler.workers.HoldResult
 import org.orioleferry.scheduler.workers.ListedWorker
@@ -81,8 +82,9 @@
     inner class Instance(
         val name: String,
     ) {
-        val store = SimulatedStore(rows)
-        val desk = JobDesk(store, clock, NO_LOG)
+        private val health = StoreHealth(name, clock, NO_LOG)
+        val store = SimulatedStore(rows, health)
+        val desk = JobDesk(store, clock, NO_LOG) { health.isAway }
         val link = Link()
         private val settings = SchedulerSettings(name, "dc")
         private val parts = OwnerParts(store, link, { Directory(this) }, { manifest }, clock, settings, NO_LOG)
