Order jobs by their longest chain of steps, and log the objective

Cause: the order used the longest single step, so a job of several steps counted as less urgent than it is; and an ended job's line did not say what was due.

Change: JobSpec.longestChainMs, used for the order and logged as objectiveMs.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
@@ -96,6 +96,14 @@
 ) {
     /** How many times the steps run. */
     val occurrences: Int get() = schedule?.occurrences ?: 1
+
+    /** Sum of the estimates along the longest chain of steps, in ms. */
+    val longestChainMs: Long
+        get() {
+            val ends = LongArray(steps.size)
+            steps.forEachIndexed { at, step -> ends[at] = step.estimateMs + (step.after.maxOfOrNull { ends[it] } ?: 0) }
+            return ends.maxOrNull() ?: 0
+        }
 }
 
 /** The stored acceptance of a job; the accepting instance writes it, a cancellation changes it. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobBook.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobBook.kt
@@ -98,10 +98,17 @@
             "state" to state,
             "reason" to reason,
             "ageMs" to (job.endedMs - job.accepted.acceptedMs),
+            "objectiveMs" to objectiveOf(job),
         )
         return writer.mark(job)
     }
 
+    /** Time within which [job] should be done from its acceptance, in ms, by the estimates of its longest chain of steps. */
+    fun objectiveOf(job: Job): Long {
+        val queue = parts.manifest()?.queue(job.accepted.spec.queue)
+        return (job.accepted.spec.longestChainMs * (queue?.stretch ?: 1.0)).toLong() + (queue?.objectiveMs ?: 0)
+    }
+
     /** Removes the rows of jobs whose state need not be readable any more. */
     suspend fun purge() {
         val cutoffMs = parts.clock.wallMs() - parts.settings.statusKeptMs - PURGE_SLACK_MS
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -2,7 +2,6 @@
 
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.Manifest
-import org.orioleferry.scheduler.model.Queue
 import org.orioleferry.scheduler.placement.Demand
 import org.orioleferry.scheduler.placement.Planner
 import org.orioleferry.scheduler.placement.Victim
@@ -99,7 +98,7 @@
             key = step,
             service = queue?.service ?: step.job.accepted.spec.service,
             priority = queue?.priority ?: LOWEST_PRIORITY,
-            order = orderOf(step, queue),
+            order = orderOf(step),
             need = step.countedNeed,
             width = waiting.size,
             isGang = spec.isGang,
@@ -121,14 +120,10 @@
     }
 
     /** Latest time at which the step's job is on time; jobs that are too late to count go behind. */
-    private fun orderOf(
-        step: StepRun,
-        queue: Queue?,
-    ): Long {
+    private fun orderOf(step: StepRun): Long {
         val spec = step.job.accepted.spec
         val begin = spec.schedule?.dueMs(step.occurrence) ?: step.job.accepted.acceptedMs
-        val objective =
-            (spec.steps.maxOf { it.estimateMs } * (queue?.stretch ?: 1.0)).toLong() + (queue?.objectiveMs ?: 0)
+        val objective = book.objectiveOf(step.job)
         val isTooLate = clock.wallMs() > begin + LATE_FACTOR * objective
         return begin + objective + if (isTooLate) TOO_LATE_MS else 0
     }
