--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -78,6 +78,7 @@
     private val lead: suspend (Ownership) -> Unit,
 ) {
     private var isResigning = false
+    private val isCloseObserver = Math.floorMod(settings.instance.hashCode(), CLOSE_OBSERVER_EACH) == 0
 
     /** The ownership while this instance has it. */
     public var current: Ownership? = null
@@ -143,6 +144,8 @@
                     feed.rows.lastOrNull { it.key == Rows.lease }?.let {
                         known = it
                         changedAt = clock.monotonicMs()
+                        // A part of the instances sees every renewal; the others act only when those do not.
+                        if (!isCloseObserver && !isResigned(it)) delay(SEEN_PAUSE_MS)
                     }
                 }
                 FeedResult.HistoryLost -> after = -1
@@ -155,6 +158,8 @@
         }
     }
 
+    private fun isResigned(row: StoredRow): Boolean = decode(row)?.holder.isNullOrEmpty()
+
     private fun ttlOf(value: LeaseValue): Long = value.ttlMs.coerceIn(settings.leaseTtlMs, settings.longestTtlMs)
 
     // Candidates act one after another, so that most do not lose a race.
@@ -281,6 +286,12 @@
 
         // A silent connection to the store is noticed within this time.
         const val FEED_WAIT_MS = 2_000L
+
+        // Below half of the lease, so that each instance looks several times within it.
+        const val SEEN_PAUSE_MS = 800L
+
+        // Two or three of the smallest installations, and a third of the looks at the largest.
+        const val CLOSE_OBSERVER_EACH = 3
         const val RANKS = 8
 
         // A renewal and the notice of it are both late by the latency of the store.
