Start tasks elsewhere when a worker makes no progress

An urgent gang was accepted at 7.2 s, started at once and ended at 16.1 s, beyond three times its objective: two of its four tasks ran on a worker on which everything stood still for 5 s.

Ruled out: judging by estimates, which for urgent jobs are off by 2.5 times; a worker that fails (its ends were done) or a lost lease (holds were answered).

Change: a run whose listed percent does not grow for 1.2 s (3% of its estimate for long tasks) is stopped and starts elsewhere if it is urgent, has done little or has a checkpoint, twice a task at most; its worker is left out for 4 s. Workers with young urgent runs are looked at each 0.7 s.

Test: "should start urgent tasks elsewhere when a worker stands still" fails without the change (RUNNING).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -39,6 +39,9 @@
     /** Whether the duration of the run says something about its worker: neither resumed nor away from its data. */
     var isTelling = false
 
+    /** Monotonic time at which [percent] was last seen to grow. */
+    var progressedAtMs: Long = startedAtMs
+
     /** When the checkpoint was last seen to change. */
     var savedAtMs: Long = startedAtMs
 
@@ -82,6 +85,9 @@
     var remaining: Int = spec.count
         private set
 
+    /** Restarts of the step because a worker stood still. */
+    var stalls = 0
+
     /** Workers that are being emptied for this step, an entry for each task. */
     var reserved: List<WorkerSession> = emptyList()
     var reservedAtMs = 0L
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -344,6 +344,26 @@
         speeds.observeDone(run.session.id, run.queue, run.estimateMs, clock.monotonicMs() - beganMs)
     }
 
+    private fun isStalled(run: Run): Boolean {
+        val spec = run.task.step.spec
+        if (run.state != RunState.RUNNING || spec.isLasting || run.confirmedAtMs == null) return false
+        // A member of a gang that has done its part waits for the others.
+        if (run.percent >= PERCENT) return false
+        val patienceMs = maxOf(STALLED_MS, (spec.estimateMs * STALLED_SHARE).toLong())
+        return clock.monotonicMs() - run.progressedAtMs > patienceMs
+    }
+
+    /** Starts the task elsewhere if little is lost by that; a worker on which work stands still recovers after seconds. */
+    private fun onStalled(run: Run) {
+        val step = run.task.step
+        speeds.noteStalled(run.session.id, clock.monotonicMs())
+        val losesLittle = run.isUrgent || run.percent < LITTLE_PERCENT || run.checkpoint.isNotEmpty()
+        if (!losesLittle || step.stalls >= MOST_STALLS * step.spec.count) return
+        step.stalls++
+        log.record(SchedulerEvent.WORKER_SUSPECTED, run.session.id, "run" to name(run.id), "percent" to run.percent)
+        if (step.spec.isGang) stopGangOf(run, "a member stands still") else stop(run, "the run stands still")
+    }
+
     private fun observeProgress(run: Run) {
         val beganMs = run.confirmedAtMs ?: return
         if (!run.isTelling || run.state != RunState.RUNNING) return
@@ -353,6 +373,9 @@
 
     override fun onListed(session: WorkerSession) {
         session.runs.values.forEach(::observeProgress)
+        session.runs.values
+            .filter { isStalled(it) }
+            .forEach { onStalled(it) }
         session.runs.values.forEach { run -> if (run.checkpoint.isNotEmpty()) saveCheckpoint(run.task, run.checkpoint) }
         replan()
     }
@@ -407,6 +430,14 @@
         // A worker that fails what it starts gets another try after this time.
         const val FAILING_PAUSE_MS = 4_000L
         const val DEFAULT_ATTEMPTS = 3
+
+        // Progress is listed in whole percent; a task of a minute at normal speed moves by 2 in this time.
+        const val STALLED_MS = 1_200L
+        const val STALLED_SHARE = 0.03
+        const val LITTLE_PERCENT = 20
+
+        // Restarts that a wrong judgement may cost.
+        const val MOST_STALLS = 2
         const val PERCENT = 100
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -129,10 +129,14 @@
         return pendingEnds.takeWhile { it.second <= stored }.lastOrNull()?.first ?: acknowledgedEnd
     }
 
+    /** Young urgent runs are looked at more often, while starting them elsewhere still helps. */
+    private fun longestWaitMs(nowMs: Long): Int =
+        if (runs.values.any { it.isUrgent && nowMs - it.startedAtMs < YOUNG_MS }) YOUNG_LOOK_MS else settings.longHoldMs
+
     private suspend fun holdOnce() {
         val lastSeen = acknowledgeable()
         val hasUnstored = pendingEnds.any { it.first > lastSeen }
-        val waitMs = if (isClaimed && runs.isNotEmpty() && !hasUnstored) settings.longHoldMs else 0
+        val waitMs = if (isClaimed && runs.isNotEmpty() && !hasUnstored) longestWaitMs(clock.monotonicMs()) else 0
         val sentAtMs = clock.monotonicMs()
         val deadlineMs = if (isClaimed && runs.isNotEmpty() && mayExtend(sentAtMs)) nextDeadlineMs() else null
         val life = listed.bornMs
@@ -204,6 +208,7 @@
         entry: PresentRun,
     ) {
         val now = clock.monotonicMs()
+        if (entry.percent > run.percent) run.progressedAtMs = now
         run.percent = entry.percent
         if (entry.checkpoint.isNotEmpty() && entry.checkpoint != run.checkpoint) {
             run.checkpoint = entry.checkpoint
@@ -261,6 +266,8 @@
         // Upper bound of a missed wake-up.
         const val IDLE_CHECK_MS = 5_000L
         const val RETRY_MS = 150L
+        const val YOUNG_MS = 2_500
+        const val YOUNG_LOOK_MS = 700
         const val QUICK_RETRY_MS = 3_000L
         const val SLOW_RETRY_MS = 500L
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/SpeedBook.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/SpeedBook.kt
@@ -82,6 +82,14 @@
         }
     }
 
+    /** Runs on [worker] make no progress. */
+    fun noteStalled(
+        worker: String,
+        nowMs: Long,
+    ) {
+        workers.getOrPut(worker) { Worker() }.troubleSinceMs = nowMs
+    }
+
     /** Whether the worker was several times slower than its peers a short while ago. */
     fun isTroubled(
         worker: String,
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -294,4 +294,18 @@
             expectThat(one.desk.state("b", "team")).isA<LookupResult.Unavailable>()
             expectThat(world.clock.monotonicMs() - before).isEqualTo(0)
         }
+
+    // Guards against an urgent job that waits for a worker on which work stands still (incident on omotnica-split).
+    @Test
+    fun `should start urgent tasks elsewhere when a worker stands still`() =
+        runTest {
+            val world = World(this, workers = 6) { _, _ -> Outcome(2_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.workers.getValue("w0").isStalled = true
+            world.submit(one, "a", "urgent", StepSpec(12, World.ONE, 400))
+            delay(5_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+        }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedWorker.kt
@@ -54,6 +54,9 @@
     /** Whether calls reach the worker; its runs go on while they do not. */
     var isReachable = true
     var isDraining = false
+
+    /** Whether runs make no progress while the worker answers as usual. */
+    var isStalled = false
     var needOf: (StartOrder) -> Resources = { Resources(1_000, 1_000, 1) }
     var losesStartAnswers = 0
 
@@ -104,8 +107,8 @@
         while (life == began && run in runs) {
             val now = clock.monotonicMs()
             if (now >= deadlineMs) return end(run, RunEnding.LAPSED)
-            if (now >= endMs) return end(run, outcome.ending)
-            delay(minOf(endMs, deadlineMs) - now)
+            if (now >= endMs && !isStalled) return end(run, outcome.ending)
+            delay(if (isStalled) STALL_CHECK_MS else minOf(endMs, deadlineMs) - now)
         }
     }
 
@@ -154,9 +157,10 @@
     }
 
     private fun percentOf(state: Present): Double =
-        100.0 * (clock.monotonicMs() - state.beganMs) / maxOf(1, state.outcome.workMs)
+        if (isStalled) 0.0 else 100.0 * (clock.monotonicMs() - state.beganMs) / maxOf(1, state.outcome.workMs)
 
     private companion object {
         const val STOP_MS = 100L
+        const val STALL_CHECK_MS = 50L
     }
 }
