Reserve the workers that the stopped runs leave free

An urgent gang preempted 15 runs, all of which had ended after 0.2 s, and started 2.2 s later with a second preemption. The search first collects victims, assigns workers, and then spares victims that are not needed; the reservation kept the workers of the first assignment, some of which stayed full, until it expired after 2 s.

Ruled out: a stop without an answer (all ends are in the log), workers taken by other steps (the reservation is honoured).

Change: the workers are assigned again with the victims that are kept.

Test: "should reserve workers that are free once the chosen victims have stopped" fails on the code before (reserved w1, which stays full).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -25,7 +25,6 @@
         rooms: List<WorkerRoom>,
     ): Choice<V>? {
         val free = rooms.associateTo(HashMap()) { it.id to it.free }
-        val counts = HashMap<String, Int>()
         val chosen = ArrayList<Victim<V>>()
         val candidates =
             victims.filter { victim ->
@@ -34,14 +33,33 @@
             }
         val cheapest = candidates.sortedWith(compareBy({ -it.priority }, { it.lost / it.weight() })).toMutableList()
         while (true) {
-            val workers = fill(demand, rooms, free, counts)
-            if (workers != null) return Choice(workers, trim(demand, rooms, chosen))
+            val workers = fill(demand, rooms, free)
+            if (workers != null) return chosenAfterTrim(demand, rooms, chosen)
             val next = cheapest.removeFirstOrNull() ?: return null
             chosen += next
             next.workers.forEach { id -> free[id]?.let { free[id] = it + next.need } }
         }
     }
 
+    /** The workers that are free without the victims that turn out not to be needed. */
+    private fun <K> chosenAfterTrim(
+        demand: Demand<K>,
+        rooms: List<WorkerRoom>,
+        chosen: List<Victim<V>>,
+    ): Choice<V>? {
+        val kept = trim(demand, rooms, chosen)
+        return fill(demand, rooms, freeWithout(rooms, kept))?.let { Choice(it, kept) }
+    }
+
+    private fun freeWithout(
+        rooms: List<WorkerRoom>,
+        stopped: List<Victim<V>>,
+    ): Map<String, Resources> {
+        val free = rooms.associateTo(HashMap()) { it.id to it.free }
+        stopped.forEach { victim -> victim.workers.forEach { id -> free[id]?.let { free[id] = it + victim.need } } }
+        return free
+    }
+
     /** Drops victims that the choice does not need. */
     private fun <K> trim(
         demand: Demand<K>,
@@ -50,11 +68,7 @@
     ): List<Victim<V>> {
         val kept = chosen.toMutableList()
         chosen.sortedByDescending { it.lost }.forEach { victim ->
-            val free = rooms.associateTo(HashMap()) { it.id to it.free }
-            (kept - victim).forEach { other ->
-                other.workers.forEach { id -> free[id]?.let { free[id] = it + other.need } }
-            }
-            if (fill(demand, rooms, free, HashMap()) != null) kept -= victim
+            if (fill(demand, rooms, freeWithout(rooms, kept - victim)) != null) kept -= victim
         }
         return kept
     }
@@ -63,9 +77,7 @@
         demand: Demand<K>,
         rooms: List<WorkerRoom>,
         free: Map<String, Resources>,
-        counts: MutableMap<String, Int>,
     ): List<String>? {
-        counts.clear()
         val workers = ArrayList<String>(demand.width)
         for (room in rooms.sortedWith(compareBy { it.trouble })) {
             val limit =
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -137,6 +137,28 @@
         expectThat(plan.preemptions.single().workers).isEqualTo(listOf("w1"))
     }
 
+    // Guards against a reservation of workers whose victims are spared after all: the urgent gang waits for the end of the
+    // reservation and preempts again (incident on tallyferry).
+    @Test
+    fun `should reserve workers that are free once the chosen victims have stopped`() {
+        val rooms = List(4) { room("w$it", free = 0) }
+        val victims =
+            listOf(
+                Victim("w0", 2, accelerators(8), listOf("w0"), lost = 50_000),
+                Victim("w1", 2, accelerators(8), listOf("w1"), lost = 9_000),
+                Victim("w2 and w3", 2, accelerators(8), listOf("w2", "w3"), lost = 60_000),
+            )
+        val urgent = demand("urgent", width = 2, each = 8, priority = 0, isGang = true)
+        val preemption = plan(rooms, listOf(urgent), victims).preemptions.single()
+        val freed = victims.filter { it.key in preemption.victims }.flatMap { it.workers }
+        expectThat(preemption.workers.filter { it !in freed }).isEmpty()
+        val many = List(4) { Victim("single$it", 2, accelerators(8), listOf("w$it"), lost = 80_000L - it * 10_000) }
+        val pair = Victim("pair", 2, accelerators(8), listOf("w0", "w1"), lost = 100_000)
+        val other = plan(rooms, listOf(urgent), listOf(pair) + many.drop(2)).preemptions.single()
+        val freedByOther = (listOf(pair) + many).filter { it.key in other.victims }.flatMap { it.workers }
+        expectThat(other.workers.filter { it !in freedByOther }).isEmpty()
+    }
+
     // Guards against room that was emptied for an urgent gang and is taken by other work before all of it is free.
     @Test
     fun `should leave reserved room to the step that it was emptied for`() {
