Treat a refused start as open when an earlier order had no answer

Cause: found while reading RunControl. A start without an answer is sent again; when the second order is refused as an old attempt, because the first had run and ended, the owner took the run as never started and began another one. With lost holds at the same time a done task ran twice.

Change: such a run is stopped and its end awaited like one without any answer. Settings and events that nothing uses are gone.

Test: "should not run a task again that ended before its lost start was repeated" fails on the code before (the job is still RUNNING).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -13,10 +13,7 @@
  * @property longHoldMs longest wait of a hold call, a limit of the workers.
  * @property clockSlowdown lowest rate of a worker's clock against ours.
  * @property keyFreshnessMs age of the manifest beyond which calls with a key are refused.
- * @property stopTimeoutMs time that a worker may take for a stop.
- * @property gangTimeoutMs time that a member of a gang waits for the others.
  * @property statusKeptMs time for which the state of an ended job can be read.
- * @property returnGraceMs time after an outage of the store within which lapsed entries of workers come back.
  */
 public data class SchedulerSettings(
     val instance: String,
@@ -29,8 +26,5 @@
     val longHoldMs: Int = 2_000,
     val clockSlowdown: Double = 0.98,
     val keyFreshnessMs: Long = 2_900,
-    val stopTimeoutMs: Long = 900,
-    val gangTimeoutMs: Long = 3_000,
     val statusKeptMs: Long = 120_000,
-    val returnGraceMs: Long = 2_500,
 )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -49,9 +49,13 @@
     /** Runs until cancelled or until the ownership is lost. */
     suspend fun run(): Unit =
         coroutineScope {
-            val runs = RunControl(parts, ownership, book, writer, this) { planSignal.trySend(Unit) }
+            val replan: () -> Unit = { planSignal.trySend(Unit) }
+            val orders = RunOrders(parts, ownership, writer, this, replan)
+            val watch = ProgressWatch(parts, orders)
+            val runs = RunControl(parts, ownership, book, writer, orders, watch, this, replan)
+            orders.onGone = runs::onGone
             val fleet = Fleet(parts, ownership, runs, this)
-            val placement = Placement(parts, ownership, book, fleet, runs)
+            val placement = Placement(parts, ownership, book, fleet, orders, watch.speeds, runs::stopIncomplete)
             writer.onStored = { fleet.wakeWaiting() }
             val jobsVersion = load()
             launch { writer.run() }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -4,6 +4,7 @@
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.placement.Demand
 import org.orioleferry.scheduler.placement.Planner
+import org.orioleferry.scheduler.placement.SpeedBook
 import org.orioleferry.scheduler.placement.Victim
 import org.orioleferry.scheduler.placement.WorkerRoom
 
@@ -13,7 +14,9 @@
     private val ownership: Ownership,
     private val book: JobBook,
     private val fleet: Fleet,
-    private val runs: RunControl,
+    private val orders: RunOrders,
+    private val speeds: SpeedBook,
+    private val stopIncomplete: (StepRun) -> Unit,
 ) {
     private val planner = Planner()
     private val urgentUse = UrgentUse()
@@ -52,7 +55,7 @@
                 "step" to step.index,
                 "victims" to preemption.victims.size,
             )
-            preemption.victims.forEach { victim -> victim.forEach { runs.stop(it, "preempted by ${step.job.id}") } }
+            preemption.victims.forEach { victim -> victim.forEach { orders.stop(it, "preempted by ${step.job.id}") } }
         }
     }
 
@@ -92,7 +95,7 @@
         val spec = step.spec
         // A gang starts again only when no member of an earlier attempt is left.
         if (spec.isGang && waiting.size < spec.count) {
-            if (step.tasks.none { it.suspectedOn.isNotEmpty() }) runs.stopIncomplete(step)
+            if (step.tasks.none { it.suspectedOn.isNotEmpty() }) stopIncomplete(step)
             return null
         }
         val queue = manifest.queue(step.job.accepted.spec.queue)
@@ -145,8 +148,8 @@
                 capacity = session.listed.room,
                 free = session.free,
                 trouble = session.failuresInRow,
-                speed = runs.speeds.speedOf(session.id),
-                isTroubled = runs.speeds.isTroubled(session.id, clock.monotonicMs()),
+                speed = speeds.speedOf(session.id),
+                isTroubled = speeds.isTroubled(session.id, clock.monotonicMs()),
                 serves = session.runs.values.any { it.task.step.spec.latencyTargetMs > 0 },
                 fills = session.runs.values.any { it.task.step.spec.usesSpareCpu },
             )
@@ -181,12 +184,12 @@
         val isUrgent = parts.manifest()?.queue(step.job.accepted.spec.queue)?.priority == 0
         val racks = workers.mapNotNullTo(HashSet()) { fleet[it]?.listed?.rack }
         val isSpread = step.spec.sameRack && racks.size > 1
-        val gangAttempt = if (step.spec.isGang) step.tasks.maxOf { runs.nextAttempt(it) } else 0
+        val gangAttempt = if (step.spec.isGang) step.tasks.maxOf { orders.nextAttempt(it) } else 0
         waiting.zip(workers).forEach { (task, worker) ->
             val session = fleet[worker] ?: return@forEach
             val isAway = step.spec.dataRack.isNotEmpty() && step.spec.dataRack != session.listed.rack
-            val attempt = if (step.spec.isGang) gangAttempt else runs.nextAttempt(task)
-            runs.start(task, session, attempt, isUrgent, isNearData = !isSpread && !isAway)
+            val attempt = if (step.spec.isGang) gangAttempt else orders.nextAttempt(task)
+            orders.start(task, session, attempt, isUrgent, isNearData = !isSpread && !isAway)
         }
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -80,14 +80,7 @@
     ): List<String>? {
         val workers = ArrayList<String>(demand.width)
         for (room in rooms.sortedWith(compareBy { it.trouble })) {
-            val limit =
-                if (demand.maxPerWorker ==
-                    0
-                ) {
-                    demand.width
-                } else {
-                    demand.maxPerWorker - (demand.used[room.id] ?: 0)
-                }
+            val limit = tasksAllowed(demand, room)
             val count = minOf(demand.width - workers.size, free.getValue(room.id).holds(demand.need, maxOf(0, limit)))
             repeat(count) { workers += room.id }
             if (workers.size == demand.width) return workers
@@ -95,6 +88,11 @@
         return null
     }
 
+    private fun <K> tasksAllowed(
+        demand: Demand<K>,
+        room: WorkerRoom,
+    ): Int = if (demand.maxPerWorker == 0) demand.width else demand.maxPerWorker - (demand.used[room.id] ?: 0)
+
     private fun Victim<V>.weight(): Long = 1L + workers.size * (need.accelerators * 8L + need.cpuMillis / 1_000)
 
     private class Choice<V>(
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -308,4 +308,22 @@
             expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
             expectThat(world.records.violations).isEmpty()
         }
+
+    // Guards against a second run of a short task that was done before the repeated order found its attempt ended.
+    @Test
+    fun `should not run a task again that ended before its lost start was repeated`() =
+        runTest {
+            val world = World(this, workers = 1) { _, _ -> Outcome(300) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.workers.values.forEach { it.losesStartAnswers = 2 }
+            one.link.losesHolds = true
+            world.submit(one, "a", "routine", StepSpec(2, World.ONE, 300))
+            delay(1_200)
+            one.link.losesHolds = false
+            delay(5_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.runsOf("a")).hasSize(2)
+            expectThat(world.records.violations).isEmpty()
+        }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
@@ -106,6 +106,9 @@
     inner class Link : WorkerLink {
         var isCut = false
 
+        /** Whether answers to holds get lost. */
+        var losesHolds = false
+
         /** Called before each start; a test may delay or drop it. */
         var onStart: suspend (StartOrder) -> Unit = {}
 
@@ -118,7 +121,7 @@
         ): HoldResult {
             val target = reach(worker) ?: return HoldResult.Unreachable("cut off")
             val result = target.hold(fence, lastSeen, deadlineMs, waitMs)
-            return if (reach(worker) == null) HoldResult.Unreachable("cut off") else result
+            return if (losesHolds || reach(worker) == null) HoldResult.Unreachable("cut off") else result
         }
 
         override suspend fun start(
@@ -127,7 +130,7 @@
         ): StartResult {
             onStart(order)
             val target = reach(worker) ?: return StartResult.Unknown("cut off")
-            return target.start(order)
+            return target.start(order).also { if (it is StartResult.Unknown) delay(LOST_CALL_MS) }
         }
 
         override suspend fun stop(
