Tidy names after reading the change as a newcomer

Cause: a function called name, a field called writing, a comment that promised more than RunOrders.stop does, and decoded fields that nothing uses.

No behaviour changes.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/Manifest.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/Manifest.kt
@@ -23,12 +23,6 @@
     val needsAdvice: Boolean = false,
 )
 
-/** A pool of workers. [guardsCapacity] tells whether its workers refuse what does not fit. */
-public data class Service(
-    val name: String,
-    val guardsCapacity: Boolean,
-)
-
 /** A workspace with its keys and the accelerators that are its own for jobs of priority 0. */
 public data class Workspace(
     val name: String,
@@ -40,7 +34,6 @@
 public data class Manifest(
     val version: Long,
     val queues: List<Queue>,
-    val services: List<Service>,
     val workspaces: List<Workspace>,
     val maxBodyBytes: Int,
 ) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWatch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWatch.kt
@@ -52,7 +52,12 @@
         val losesLittle = run.isUrgent || run.percent < LITTLE_PERCENT || run.checkpoint.isNotEmpty()
         if (!losesLittle || step.stalls >= MOST_STALLS * step.spec.count) return
         step.stalls++
-        log.record(SchedulerEvent.WORKER_SUSPECTED, run.session.id, "run" to name(run.id), "percent" to run.percent)
+        log.record(
+            SchedulerEvent.WORKER_SUSPECTED,
+            run.session.id,
+            "run" to run.id.toLogName(),
+            "percent" to run.percent,
+        )
         if (step.spec.isGang) {
             orders.stopGangOf(
                 run,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWriter.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWriter.kt
@@ -27,7 +27,7 @@
     private val dirty = LinkedHashMap<Job, Long>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private var sequence = 0L
-    private var writing: Long? = null
+    private var firstOfGroup: Long? = null
 
     private val stored = MutableStateFlow(0L)
 
@@ -65,12 +65,12 @@
     private suspend fun writeGroup() {
         val group = dirty.keys.take(GROUP_ROWS)
         val upTo = sequence
-        writing = dirty.getValue(group.first())
+        firstOfGroup = dirty.getValue(group.first())
         group.forEach { dirty.remove(it) }
         when (val result = store.commit(transactionOf(group))) {
             is CommitResult.Committed -> {
                 group.forEach { it.progressVersion = result.version }
-                writing = null
+                firstOfGroup = null
                 stored.value = dirty.values.firstOrNull()?.let { it - 1 } ?: upTo
                 onStored()
             }
@@ -113,12 +113,12 @@
     }
 
     private fun putBack(group: List<Job>) {
-        val first = writing ?: sequence
+        val first = firstOfGroup ?: sequence
         val later = LinkedHashMap(dirty)
         dirty.clear()
         group.forEach { dirty[it] = first }
         later.forEach { (job, number) -> dirty.putIfAbsent(job, number) }
-        writing = null
+        firstOfGroup = null
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -30,7 +30,7 @@
     ): Long {
         log.record(
             SchedulerEvent.RUN_ENDED,
-            name(end.id),
+            end.id.toLogName(),
             "worker" to session.id,
             "how" to end.ending,
             "number" to end.number,
@@ -99,7 +99,12 @@
         stopPartialGang(task, RunId(task.id, attempt))
         val limit = parts.manifest()?.queue(job.accepted.spec.queue)?.maxAttempts ?: DEFAULT_ATTEMPTS
         if (task.step.failuresOf(task) < limit) return writer.mark(job)
-        val number = book.end(job, JobState.FAILED, "task ${name(RunId(task.id, attempt))} has failed $limit times")
+        val number =
+            book.end(
+                job,
+                JobState.FAILED,
+                "task ${RunId(task.id, attempt).toLogName()} has failed $limit times",
+            )
         stopAll(job, "the job has failed")
         return number
     }
@@ -122,7 +127,12 @@
         val job = book[present.id.task.job]
         val task = job?.task(present.id.task)
         if (job == null || task == null || !isLeftBehind(job, task, session, present.id)) {
-            log.record(SchedulerEvent.RUN_FOREIGN, name(present.id), "worker" to session.id, "known" to (task != null))
+            log.record(
+                SchedulerEvent.RUN_FOREIGN,
+                present.id.toLogName(),
+                "worker" to session.id,
+                "known" to (task != null),
+            )
             scope.launch { parts.link.stop(session.listed, present.id, ownership.epoch) }
             return
         }
@@ -134,7 +144,12 @@
         orders.attach(run)
         job.hasBegun = true
         task.suspectedOn = ""
-        log.record(SchedulerEvent.RUN_ADOPTED, name(present.id), "worker" to session.id, "percent" to present.percent)
+        log.record(
+            SchedulerEvent.RUN_ADOPTED,
+            present.id.toLogName(),
+            "worker" to session.id,
+            "percent" to present.percent,
+        )
         session.wake()
     }
 
@@ -185,7 +200,7 @@
         if (run.task.run !== run) return
         log.record(
             SchedulerEvent.RUN_ENDED,
-            name(run.id),
+            run.id.toLogName(),
             "worker" to run.session.id,
             "how" to "GONE",
             "reason" to reason,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -68,7 +68,7 @@
             mayHaveStarted = true
             log.record(
                 SchedulerEvent.RUN_START_UNKNOWN,
-                name(run.id),
+                run.id.toLogName(),
                 "worker" to run.session.id,
                 "reason" to result.reason,
                 "try" to attempt,
@@ -87,7 +87,7 @@
         run.confirmedAtMs = clock.monotonicMs()
         log.record(
             SchedulerEvent.RUN_STARTED,
-            name(run.id),
+            run.id.toLogName(),
             "worker" to run.session.id,
             "epoch" to ownership.epoch,
         )
@@ -115,7 +115,7 @@
         run: Run,
         reason: StartRefusal,
     ) {
-        log.record(SchedulerEvent.RUN_START_REFUSED, name(run.id), "worker" to run.session.id, "reason" to reason)
+        log.record(SchedulerEvent.RUN_START_REFUSED, run.id.toLogName(), "worker" to run.session.id, "reason" to reason)
         val now = clock.monotonicMs()
         when (reason) {
             StartRefusal.FENCED -> ownership.isLost = true
@@ -128,7 +128,7 @@
         replan()
     }
 
-    /** Stops [run]; for a member of a gang, all of its runs. */
+    /** Stops [run]; the worker then ends the other members of a gang as well. */
     fun stop(
         run: Run,
         reason: String,
@@ -136,7 +136,7 @@
         if (run.state == RunState.STOPPING) return
         val wasStarting = run.state == RunState.STARTING
         run.state = RunState.STOPPING
-        log.record(SchedulerEvent.RUN_STOP, name(run.id), "worker" to run.session.id, "reason" to reason)
+        log.record(SchedulerEvent.RUN_STOP, run.id.toLogName(), "worker" to run.session.id, "reason" to reason)
         // A start that is on its way is followed by a stop once its outcome is known.
         if (!wasStarting) scope.launch { sendStop(run) }
     }
@@ -203,5 +203,4 @@
 }
 
 /** Name of a run in logs. */
-internal fun name(id: RunId): String =
-    "${id.task.job}.${id.task.occurrence}.${id.task.step}.${id.task.index}#${id.attempt}"
+internal fun RunId.toLogName(): String = "${task.job}.${task.occurrence}.${task.step}.${task.index}#$attempt"
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
@@ -32,7 +32,6 @@
     val room: Resources,
     val bornMs: Long,
     val isDraining: Boolean,
-    val coldMs: Long = 0,
 )
 
 /** A run that is present at a worker. [percent] is the finished share. */
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
@@ -18,7 +18,6 @@
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.model.Queue
 import org.orioleferry.scheduler.model.Resources
-import org.orioleferry.scheduler.model.Service
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.model.Workspace
 import org.orioleferry.scheduler.owner.Election
@@ -73,7 +72,6 @@
                     Queue("urgent", "host", "/urgent/", "pool", 0, 3, 1.5, 250, 3_000, isPublic = false),
                     Queue("routine", "host", "/routine/", "pool", 2, 3, 3.0, 3_000, 3_000, isPublic = false),
                 ),
-            services = listOf(Service("pool", guardsCapacity = true)),
             workspaces = listOf(Workspace("team", setOf("key"), 8)),
             maxBodyBytes = 10_000,
         )
