--- /dev/null
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
@@ -0,0 +1,101 @@
+package org.orioleferry.scheduler
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.StepSpec
+import org.orioleferry.scheduler.world.Outcome
+import org.orioleferry.scheduler.world.World
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+class WorkerFaultsTest {
+    // Guards against leases that are extended without end at a worker that has gone, so that its tasks never start again.
+    @Test
+    fun `should start a task again when its worker has gone without a word`() =
+        runTest {
+            val world = World(this) { _, _ -> Outcome(3_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(1, World.ONE, 3_000))
+            delay(1_000)
+            val gone =
+                world.records.runs
+                    .single()
+                    .worker
+            world.workers.getValue(gone).crash()
+            world.workers.getValue(gone).isReachable = false
+            world.delisted += gone
+            delay(14_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against a takeover that waits for one lost worker before it starts anything.
+    @Test
+    fun `should start tasks that never ran at once after a takeover although a worker is lost`() =
+        runTest {
+            val world = World(this, workers = 2) { _, _ -> Outcome(4_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            val two = world.Instance("two").also { it.start() }
+            world.submit(two, "a", "routine", StepSpec(24, World.ONE, 4_000))
+            delay(1_000)
+            world.workers.getValue("w0").isReachable = false
+            world.delisted += "w0"
+            one.kill()
+            delay(7_000)
+            expectThat(world.records.runs.count { it.worker == "w1" }).isEqualTo(16)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against an urgent job that waits for a worker on which work stands still (incident on omotnica-split).
+    @Test
+    fun `should start urgent tasks elsewhere when a worker stands still`() =
+        runTest {
+            val world = World(this, workers = 6) { _, _ -> Outcome(2_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.workers.getValue("w0").isStalled = true
+            world.submit(one, "a", "urgent", StepSpec(12, World.ONE, 400))
+            delay(5_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against a second run of a short task that was done before the repeated order found its attempt ended.
+    @Test
+    fun `should not run a task again that ended before its lost start was repeated`() =
+        runTest {
+            val world = World(this, workers = 1) { _, _ -> Outcome(300) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.workers.values.forEach { it.losesStartAnswers = 2 }
+            one.link.losesHolds = true
+            world.submit(one, "a", "routine", StepSpec(2, World.ONE, 300))
+            delay(1_200)
+            one.link.losesHolds = false
+            delay(5_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.runsOf("a")).hasSize(2)
+            expectThat(world.records.violations).isEmpty()
+        }
+
+    // Guards against a second run when a start took effect and only its answer was lost.
+    @Test
+    fun `should count a start whose answer is lost as one run`() =
+        runTest {
+            val world = World(this)
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.workers.values.forEach { it.losesStartAnswers = 2 }
+            world.submit(one, "a", "routine", StepSpec(4, World.ONE, 1_000))
+            delay(4_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+            expectThat(world.records.runsOf("a")).hasSize(4)
+        }
+}
