Search victims by worker, and wait for runs that are about to end

On the grown deployments each search for victims sorted all workers once a victim, so its cost grew with the product of workers and runs. Ruled out: late victims' stops (stops were answered at once). Change: each worker offers its cheapest stops for one more task and the cheapest offers are taken; a gang counts once; a run whose progress says that it ends within 600 ms is waited for. A demand that fits on no worker is left before workers are sorted and grouped.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
@@ -15,6 +15,9 @@
     public operator fun minus(other: Resources): Resources =
         Resources(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators)
 
+    public operator fun times(count: Int): Resources =
+        Resources(cpuMillis * count, memoryMb * count, accelerators * count)
+
     /** Whether this amount is available in [room]. */
     public fun fitsIn(room: Resources): Boolean =
         cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && accelerators <= room.accelerators
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -33,6 +33,10 @@
     var checkpoint: String = ""
     var percent: Double = 0.0
 
+    /** The first progress that the worker listed, and when: a resumed run does not begin at 0. */
+    var firstPercent: Double = 0.0
+    var firstPercentAtMs: Long = startedAtMs
+
     /** Whether the run belongs to a queue of the highest priority. */
     var isUrgent = false
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -164,9 +164,27 @@
             .map { group ->
                 val step = group.first().task.step
                 val priority = manifest.queue(step.job.accepted.spec.queue)?.priority ?: LOWEST_PRIORITY
-                Victim(group, priority, step.countedNeed, group.map { it.session.id }, group.sumOf { lostBy(it) })
+                Victim(
+                    group,
+                    priority,
+                    step.countedNeed,
+                    group.map { it.session.id },
+                    group.sumOf { lostBy(it) },
+                    group.maxOf { remainingMs(it) },
+                )
             }
 
+    /** Time until [run] ends by itself, as far as its progress since the start tells. */
+    private fun remainingMs(run: Run): Long {
+        val progress = run.percent - run.firstPercent
+        if (progress < MIN_PROGRESS_PERCENT) return Long.MAX_VALUE
+        val msPerPercent = (run.progressedAtMs - run.firstPercentAtMs) / progress
+        val atMs = run.progressedAtMs + ((PERCENT - run.percent) * msPerPercent).toLong()
+        val remaining = atMs - clock.monotonicMs()
+        // The prediction was wrong when the run should have ended well before now.
+        return if (remaining < -OVERDUE_MS) Long.MAX_VALUE else remaining
+    }
+
     private fun lostBy(run: Run): Long {
         val need = run.task.step.spec.need
         val since = if (run.task.step.spec.savesProgress) maxOf(run.savedAtMs, run.startedAtMs) else run.startedAtMs
@@ -207,6 +225,14 @@
         const val LATE_FACTOR = 3
         const val TOO_LATE_MS = 600_000L
 
+        const val PERCENT = 100
+
+        // Less progress is too coarse to predict an end from.
+        const val MIN_PROGRESS_PERCENT = 15
+
+        // Longest time between two lists of a worker's runs.
+        const val OVERDUE_MS = 2_000L
+
         // Starting again costs about this much besides the work itself.
         const val STOP_COST_MS = 600L
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -139,6 +139,7 @@
         val run = Run(present.id, task, session, RunState.RUNNING, clock.monotonicMs())
         run.checkpoint = present.checkpoint
         run.percent = present.percent
+        run.firstPercent = present.percent
         run.confirmedAtMs = clock.monotonicMs()
         run.isUrgent = parts.manifest()?.queue(run.queue)?.priority == 0
         orders.attach(run)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -214,6 +214,10 @@
         entry: PresentRun,
     ) {
         val now = clock.monotonicMs()
+        if (run.firstPercentAtMs == run.startedAtMs) {
+            run.firstPercentAtMs = now
+            run.firstPercent = entry.percent
+        }
         if (entry.percent > run.percent) run.progressedAtMs = now
         run.percent = entry.percent
         if (entry.checkpoint.isNotEmpty() && entry.checkpoint != run.checkpoint) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Pass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Pass.kt
@@ -10,6 +10,7 @@
 ) {
     private val byId = rooms.associateBy { it.id }
     private val byService = rooms.groupBy { it.service }
+    private val totalAccelerators = byService.mapValues { (_, all) -> all.sumOf { it.capacity.accelerators } }
     private val used = HashMap<String, Int>()
     private var heldWorkers = 0
 
@@ -31,10 +32,14 @@
     fun <K> place(demand: Demand<K>): List<String> {
         used.clear()
         used.putAll(demand.used)
+        // On a full service almost no worker passes the first test, so the others are not sorted or grouped.
         val rooms =
             byService[demand.service].orEmpty().filter {
-                accepts(demand, it) && (!it.isTroubled || demand.waitedMs > settings.troubledWaitMs)
+                demand.need.fitsIn(it.free) &&
+                    accepts(demand, it) &&
+                    (!it.isTroubled || demand.waitedMs > settings.troubledWaitMs)
             }
+        if (rooms.isEmpty()) return emptyList()
         val near = if (demand.dataRack.isEmpty()) rooms else rooms.filter { it.rack == demand.dataRack }
         val chosen =
             when {
@@ -82,13 +87,14 @@
         missing: Int,
     ) {
         if (demand.waitedMs < settings.patienceMs) return
+        val limit = (byService[demand.service].orEmpty().size * settings.heldShare).toInt() - heldWorkers
+        if (limit <= 0) return
         val rooms = byService[demand.service].orEmpty().filter { accepts(demand, it) && !it.isTroubled }
         val near = if (demand.dataRack.isEmpty()) rooms else rooms.filter { it.rack == demand.dataRack }
         val held = if (demand.isGang && demand.sameRack) closestRack(demand, near) else near
-        val limit = (byService[demand.service].orEmpty().size * settings.heldShare).toInt() - heldWorkers
         val byFree = held.filter { slotsWhenEmpty(demand, it) > 0 }.sortedByDescending { it.free.accelerators }
         var left = missing
-        for (room in byFree.take(maxOf(0, limit))) {
+        for (room in byFree.take(limit)) {
             if (left <= 0) return
             left -= slotsWhenEmpty(demand, room)
             heldWorkers++
@@ -124,12 +130,13 @@
         near: List<WorkerRoom>,
         rooms: List<WorkerRoom>,
     ): List<String> {
-        val within = if (mayRunRemote(demand, rooms)) rooms else near
+        val mayRunRemote = mayRunRemote(demand)
+        val within = if (mayRunRemote) rooms else near
         val racks = within.groupBy { it.rack }.values.map { rack -> rack to rack.sumOf { slots(demand, it) } }
         val fitting = racks.filter { it.second >= demand.width }
         val best = fitting.minWithOrNull(compareBy({ it.first.first().rack != demand.dataRack }, { it.second }))
         if (best != null) return fill(demand, best.first)
-        if (!mayRunRemote(demand, rooms)) return emptyList()
+        if (!mayRunRemote) return emptyList()
         val spread = fill(demand, rooms)
         return if (spread.size == demand.width || !demand.isGang) spread else emptyList()
     }
@@ -140,7 +147,7 @@
         rooms: List<WorkerRoom>,
     ): List<String> {
         val first = fill(demand, near)
-        if (first.size == demand.width || near.size == rooms.size || !mayRunRemote(demand, rooms)) return first
+        if (first.size == demand.width || near.size == rooms.size || !mayRunRemote(demand)) return first
         return first + fill(demand, rooms - near.toSet(), demand.width - first.size)
     }
 
@@ -197,15 +204,13 @@
         room: WorkerRoom,
     ): Int = if (demand.maxPerWorker == 0) Int.MAX_VALUE else maxOf(0, demand.maxPerWorker - (used[room.id] ?: 0))
 
-    private fun <K> mayRunRemote(
-        demand: Demand<K>,
-        rooms: List<WorkerRoom>,
-    ): Boolean {
+    private fun <K> mayRunRemote(demand: Demand<K>): Boolean {
         if (demand.dataRack.isEmpty() && !demand.sameRack) return true
         if (demand.waitedMs > demand.estimateMs * settings.remoteWaitFactor) return true
         if (demand.waitedMs < settings.remoteWaitMs) return false
-        val total = rooms.sumOf { it.capacity.accelerators }
-        return total == 0 || rooms.sumOf { maxOf(0, it.free.accelerators) } > total * (1 - settings.lightUse)
+        val total = totalAccelerators[demand.service] ?: 0
+        val free = byService[demand.service].orEmpty().sumOf { maxOf(0, it.free.accelerators) }
+        return total == 0 || free > total * (1 - settings.lightUse)
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -58,6 +58,7 @@
  * A group of runs that can be stopped only together.
  *
  * @property lost work that would be thrown away, in core-ms with an accelerator counted as 8 cores.
+ * @property remainingMs time until the last of the runs ends by itself, from their progress so far.
  */
 internal data class Victim<K>(
     val key: K,
@@ -65,6 +66,7 @@
     val need: Resources,
     val workers: List<String>,
     val lost: Long,
+    val remainingMs: Long = Long.MAX_VALUE,
 )
 
 /** Tasks of [demand] that start, by worker in the order of the tasks. */
@@ -73,7 +75,7 @@
     val workers: List<String>,
 )
 
-/** Victims to stop so that [demand] can run on [workers]. */
+/** Victims to stop so that [demand] can run on [workers]; runs that are about to end are waited for instead. */
 internal data class Preemption<K, V>(
     val demand: Demand<K>,
     val workers: List<String>,
@@ -102,7 +104,7 @@
         urgentReserve: Map<String, Int> = emptyMap(),
     ): Plan<K, V> {
         val pass = Pass(rooms, settings)
-        val preemption = PreemptionSearch(rooms, victims.toMutableList())
+        val preemption = PreemptionSearch(rooms, victims, settings)
         val placed = ArrayList<Placed<K>>()
         val preemptions = ArrayList<Preemption<K, V>>()
         val (withReservation, others) = demands.partition { it.reserved.isNotEmpty() }
@@ -147,6 +149,8 @@
  * @property troubledWaitMs wait after which troubled workers are used as well. Below the same 3 s.
  * @property patienceMs wait after which a step keeps room that comes free from work behind it.
  * @property heldShare largest share of a service's workers that is kept so.
+ * @property stopWaitMs remaining time up to which an urgent step waits for a run instead of stopping it. Stops take up to
+ *   200 ms on Tallyferry and 900 ms on Omotnica Split.
  */
 internal data class PlannerSettings(
     val remoteWaitMs: Long = 1_500,
@@ -155,4 +159,5 @@
     val troubledWaitMs: Long = 2_000,
     val patienceMs: Long = 500,
     val heldShare: Double = 0.25,
+    val stopWaitMs: Long = 600,
 )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -1,102 +1,175 @@
 package org.orioleferry.scheduler.placement
 
 import org.orioleferry.scheduler.model.Resources
+import java.util.PriorityQueue
 
-/** Finds the cheapest runs to stop for a demand of the highest priority. */
+/**
+ * Finds the cheapest runs to stop for a demand of the highest priority.
+ *
+ * Each worker offers the cheapest stops that make room for one more task; the cheapest offer is taken until the whole
+ * demand fits. One search looks at each run a few times only, so its cost grows with workers and runs, not their product.
+ */
 internal class PreemptionSearch<V>(
     private val rooms: List<WorkerRoom>,
-    private val victims: MutableList<Victim<V>>,
+    victims: List<Victim<V>>,
+    private val settings: PlannerSettings,
 ) {
+    private val available = LinkedHashSet(victims)
+    private val byWorker = HashMap<String, MutableList<Victim<V>>>()
+
+    init {
+        victims.forEach { victim ->
+            victim.workers.distinct().forEach { byWorker.getOrPut(it) { ArrayList() } += victim }
+        }
+    }
+
     /** Null when no set of victims makes room for the whole demand. The victims that are chosen are not offered again. */
     fun <K> find(demand: Demand<K>): Preemption<K, V>? {
-        if (victims.none { it.priority > demand.priority }) return null
+        if (available.none { it.priority > demand.priority }) return null
         val usable = rooms.filter { accepts(demand, it) && !it.isTroubled }
         val near = usable.filter { demand.dataRack.isEmpty() || it.rack == demand.dataRack }
         val groups = if (demand.sameRack) near.groupBy { it.rack }.values.toList() else listOf(near)
-        val best =
-            groups.mapNotNull { within(demand, it) }.minByOrNull { it.victims.sumOf { victim -> victim.lost } }
-                ?: return null
-        victims.removeAll(best.victims.toSet())
-        return Preemption(demand, best.workers, best.victims.map { it.key })
+        val best = groups.mapNotNull { Search(demand, it).run() }.minByOrNull { it.cost } ?: return null
+        available.removeAll(best.victims)
+        val stopped = best.victims.filterNot { endsSoon(it) }
+        return Preemption(demand, best.workers, stopped.map { it.key })
     }
 
-    private fun <K> within(
-        demand: Demand<K>,
-        rooms: List<WorkerRoom>,
-    ): Choice<V>? {
-        val free = rooms.associateTo(HashMap()) { it.id to it.free }
-        val chosen = ArrayList<Victim<V>>()
-        val candidates =
-            victims.filter { victim ->
-                victim.priority > demand.priority &&
-                    victim.workers.any { it in free }
+    // Waiting for a run that is about to end takes no longer than stopping it, and loses nothing.
+    private fun endsSoon(victim: Victim<V>) = victim.remainingMs <= settings.stopWaitMs
+
+    private fun costOf(victim: Victim<V>): Long = if (endsSoon(victim)) 0 else victim.lost
+
+    private class Choice<V>(
+        val workers: List<String>,
+        val victims: Set<Victim<V>>,
+        val cost: Long,
+    )
+
+    private class Offer<V>(
+        val room: WorkerRoom,
+        val victims: List<Victim<V>>,
+        val cost: Long,
+    )
+
+    private inner class Search(
+        private val demand: Demand<*>,
+        private val rooms: List<WorkerRoom>,
+    ) {
+        private val freed = HashMap<String, Resources>()
+        private val chosen = LinkedHashSet<Victim<V>>()
+        private val byId = rooms.associateBy { it.id }
+
+        fun run(): Choice<V>? {
+            val offers = PriorityQueue<Offer<V>>(compareBy({ it.cost }, { it.room.trouble }, { it.room.id }))
+            rooms.forEach { room -> offerOf(room)?.let { offers += it } }
+            var slots = rooms.sumOf { slotsIn(it) }
+            while (slots < demand.width) {
+                val offer = offers.poll() ?: return null
+                val isCurrent = offer.victims.none { it in chosen }
+                if (isCurrent) slots += take(offer)
+                offerOf(offer.room)?.let { offers += it }
             }
-        val cheapest = candidates.sortedWith(compareBy({ -it.priority }, { it.lost / it.weight() })).toMutableList()
-        while (true) {
-            val workers = fill(demand, rooms, free)
-            if (workers != null) return chosenAfterTrim(demand, rooms, chosen)
-            val next = cheapest.removeFirstOrNull() ?: return null
-            chosen += next
-            next.workers.forEach { id -> free[id]?.let { free[id] = it + next.need } }
+            dropUnneeded(slots)
+            return Choice(workers(), chosen, chosen.sumOf { costOf(it) })
         }
-    }
 
-    /** The workers that are free without the victims that turn out not to be needed. */
-    private fun <K> chosenAfterTrim(
-        demand: Demand<K>,
-        rooms: List<WorkerRoom>,
-        chosen: List<Victim<V>>,
-    ): Choice<V>? {
-        val kept = trim(demand, rooms, chosen)
-        return fill(demand, rooms, freeWithout(rooms, kept))?.let { Choice(it, kept) }
-    }
+        /** Stops the victims of [offer] and returns the slots that this adds. */
+        private fun take(offer: Offer<V>): Int =
+            offer.victims.sumOf { victim ->
+                chosen += victim
+                change(victim) { free -> free + victim.need }
+            }
 
-    private fun freeWithout(
-        rooms: List<WorkerRoom>,
-        stopped: List<Victim<V>>,
-    ): Map<String, Resources> {
-        val free = rooms.associateTo(HashMap()) { it.id to it.free }
-        stopped.forEach { victim -> victim.workers.forEach { id -> free[id]?.let { free[id] = it + victim.need } } }
-        return free
-    }
+        /** Changes the room of each worker that [victim] uses and returns the slots gained. */
+        private fun change(
+            victim: Victim<V>,
+            update: (Resources) -> Resources,
+        ): Int =
+            victim.workers.mapNotNull { byId[it] }.sumOf { room ->
+                val before = slotsIn(room)
+                freed[room.id] = update(freed[room.id] ?: Resources())
+                slotsIn(room) - before
+            }
 
-    /** Drops victims that the choice does not need. */
-    private fun <K> trim(
-        demand: Demand<K>,
-        rooms: List<WorkerRoom>,
-        chosen: List<Victim<V>>,
-    ): List<Victim<V>> {
-        val kept = chosen.toMutableList()
-        chosen.sortedByDescending { it.lost }.forEach { victim ->
-            if (fill(demand, rooms, freeWithout(rooms, kept - victim)) != null) kept -= victim
+        /** The cheapest stops on [room] that make room for one more task. */
+        private fun offerOf(room: WorkerRoom): Offer<V>? {
+            val before = slotsIn(room)
+            if (before >= limitOf(room)) return null
+            val candidates =
+                byWorker[room.id]
+                    .orEmpty()
+                    .filter { it.priority > demand.priority && it in available && it !in chosen }
+                    .sortedWith(compareBy({ costOf(it) * 1.0 / it.weight() }, { -it.priority }))
+            val added = ArrayList<Victim<V>>()
+            var free = room.free + (freed[room.id] ?: Resources())
+            for (victim in candidates) {
+                added += victim
+                free += neededOn(room, victim)
+                if (slotsWith(room, free) > before) return offer(room, added, free, before)
+            }
+            return null
         }
-        return kept
-    }
 
-    private fun <K> fill(
-        demand: Demand<K>,
-        rooms: List<WorkerRoom>,
-        free: Map<String, Resources>,
-    ): List<String>? {
-        val workers = ArrayList<String>(demand.width)
-        for (room in rooms.sortedWith(compareBy { it.trouble })) {
-            val limit = tasksAllowed(demand, room)
-            val count = minOf(demand.width - workers.size, free.getValue(room.id).holds(demand.need, maxOf(0, limit)))
-            repeat(count) { workers += room.id }
-            if (workers.size == demand.width) return workers
+        private fun offer(
+            room: WorkerRoom,
+            added: List<Victim<V>>,
+            free: Resources,
+            before: Int,
+        ): Offer<V> {
+            val kept = added.toMutableList()
+            var left = free
+            added.sortedByDescending { costOf(it) }.forEach { victim ->
+                val without = left - neededOn(room, victim)
+                if (slotsWith(room, without) > before) {
+                    kept -= victim
+                    left = without
+                }
+            }
+            return Offer(room, kept, kept.sumOf { costOf(it) })
         }
-        return null
-    }
 
-    private fun <K> tasksAllowed(
-        demand: Demand<K>,
-        room: WorkerRoom,
-    ): Int = if (demand.maxPerWorker == 0) demand.width else demand.maxPerWorker - (demand.used[room.id] ?: 0)
+        /** Spares victims without which the demand still fits. */
+        private fun dropUnneeded(slots: Int) {
+            var left = slots
+            chosen.sortedByDescending { costOf(it) }.forEach { victim ->
+                val gained = change(victim) { it - victim.need }
+                if (left + gained >= demand.width) {
+                    chosen -= victim
+                    left += gained
+                } else {
+                    change(victim) { it + victim.need }
+                }
+            }
+        }
 
-    private fun Victim<V>.weight(): Long = 1L + workers.size * (need.accelerators * 8L + need.cpuMillis / 1_000)
+        private fun workers(): List<String> {
+            val workers = ArrayList<String>(demand.width)
+            for (room in rooms.sortedBy { it.trouble }) {
+                repeat(minOf(demand.width - workers.size, slotsIn(room))) { workers += room.id }
+            }
+            return workers
+        }
 
-    private class Choice<V>(
-        val workers: List<String>,
-        val victims: List<Victim<V>>,
-    )
+        private fun slotsIn(room: WorkerRoom): Int =
+            slotsWith(room, freed[room.id]?.let { room.free + it } ?: room.free)
+
+        private fun slotsWith(
+            room: WorkerRoom,
+            free: Resources,
+        ): Int = free.holds(demand.need, maxOf(0, limitOf(room)))
+
+        private fun limitOf(room: WorkerRoom): Int =
+            if (demand.maxPerWorker == 0) demand.width else demand.maxPerWorker - (demand.used[room.id] ?: 0)
+
+        private fun neededOn(
+            room: WorkerRoom,
+            victim: Victim<V>,
+        ): Resources {
+            val count = victim.workers.count { it == room.id }
+            return if (count == 1) victim.need else victim.need * count
+        }
+    }
+
+    private fun Victim<V>.weight(): Long = 1L + workers.size * (need.accelerators * 8L + need.cpuMillis / 1_000)
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -137,6 +137,37 @@
         expectThat(plan.preemptions.single().workers).isEqualTo(listOf("w1"))
     }
 
+    // Pattern: on a quiet day of Tallyferry each urgent gang stopped long runs (66 runs, 2,400 core-seconds thrown away)
+    // although others ended within the time that a stop takes.
+    @Test
+    fun `should wait for runs that are about to end instead of stopping others`() {
+        val rooms = listOf(room("w0", free = 0), room("w1", free = 0))
+        val victims =
+            listOf(
+                Victim("young", 2, accelerators(8), listOf("w0"), lost = 1_000, remainingMs = 9_000),
+                Victim("ending", 2, accelerators(8), listOf("w1"), lost = 80_000, remainingMs = 300),
+            )
+        val preemption =
+            plan(rooms, listOf(demand("urgent", width = 1, each = 8, priority = 0)), victims).preemptions.single()
+        expectThat(preemption.victims).isEmpty()
+        expectThat(preemption.workers).isEqualTo(listOf("w1"))
+    }
+
+    // Guards against stopping a gang for each of its members, or counting its cost more than once.
+    @Test
+    fun `should count a gang that frees room on several workers once`() {
+        val rooms = List(3) { room("w$it", free = 0) }
+        val victims =
+            listOf(
+                Victim("gang", 2, accelerators(8), listOf("w0", "w1"), lost = 10_000),
+                Victim("single0", 1, accelerators(8), listOf("w2"), lost = 9_000),
+            )
+        val urgent = demand("urgent", width = 2, each = 8, priority = 0, isGang = true)
+        val preemption = plan(rooms, listOf(urgent), victims).preemptions.single()
+        expectThat(preemption.victims).isEqualTo(listOf("gang"))
+        expectThat(preemption.workers).containsExactlyInAnyOrder("w0", "w1")
+    }
+
     // Guards against a reservation of workers whose victims are spared after all: the urgent gang waits for the end of the
     // reservation and preempts again (incident on tallyferry).
     @Test
