Reclaim guaranteed accelerators from other workspaces' urgent work

Urgent work of all workspaces had one rank, so a flood of one workspace kept what was guaranteed to another; with the owner short of processor time on top. Ruled out: a late stop (the runs were never chosen as victims). Change: urgent work whose workspace needs no more than its guarantee ranks before all other work and may stop urgent work beyond a guarantee, at a cost that makes it the last choice. The time for which a run that ends by itself is waited for is the platform's bound for a stop.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -122,6 +122,9 @@
     /** Whether a task has ever started. */
     var hasBegun: Boolean = state != JobState.QUEUED
 
+    /** Accelerators that the widest step needs. */
+    val widestNeed: Int = accepted.spec.steps.maxOf { it.count * it.need.accelerators }
+
     private val occurrences = sortedMapOf<Int, List<StepRun>>()
     private val finished = HashSet<Int>()
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -4,6 +4,7 @@
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.placement.Demand
 import org.orioleferry.scheduler.placement.Planner
+import org.orioleferry.scheduler.placement.PlannerSettings
 import org.orioleferry.scheduler.placement.SpeedBook
 import org.orioleferry.scheduler.placement.Victim
 import org.orioleferry.scheduler.placement.WorkerRoom
@@ -18,8 +19,8 @@
     private val speeds: SpeedBook,
     private val stopIncomplete: (StepRun) -> Unit,
 ) {
-    private val planner = Planner()
-    private val urgentUse = UrgentUse()
+    private val planner = Planner(PlannerSettings(stopMs = parts.settings.stopMs))
+    private val urgentUse = UrgentUse(parts.settings.stopMs)
     private val clock = parts.clock
     private var hasWaiting = false
     private var nextDueMs = Long.MAX_VALUE
@@ -34,14 +35,15 @@
         val manifest = parts.manifest() ?: return
         nextDueMs = Long.MAX_VALUE
         val steps = book.live.flatMap { ready(it) }
-        val demands = steps.mapNotNull { demandOf(it, manifest) }
+        val ranks = Ranks(manifest, book.live)
+        val demands = steps.mapNotNull { demandOf(it, manifest, ranks) }
         hasWaiting = demands.isNotEmpty()
         if (demands.isEmpty()) return
         val plan =
             planner.plan(
                 rooms(),
                 demands,
-                victims(manifest),
+                victims(ranks),
                 urgentUse.reserve(fleet.sessions, clock.monotonicMs()),
             )
         plan.placed.forEach { start(it.demand.key, it.workers) }
@@ -88,6 +90,7 @@
     private fun demandOf(
         step: StepRun,
         manifest: Manifest,
+        ranks: Ranks,
     ): Demand<StepRun>? {
         val now = clock.monotonicMs()
         if (step.readySinceMs < 0) step.readySinceMs = now
@@ -107,7 +110,7 @@
         return Demand(
             key = step,
             service = queue?.service ?: step.job.accepted.spec.service,
-            priority = queue?.priority ?: LOWEST_PRIORITY,
+            priority = ranks.of(step.job),
             order = orderOf(step),
             need = step.countedNeed,
             width = waiting.size,
@@ -155,7 +158,7 @@
             )
         }
 
-    private fun victims(manifest: Manifest): List<Victim<List<Run>>> =
+    private fun victims(ranks: Ranks): List<Victim<List<Run>>> =
         fleet.sessions
             .flatMap { it.runs.values }
             .filter { it.state == RunState.RUNNING && !it.task.step.spec.isLasting && it.task.step.job.isLive }
@@ -163,10 +166,9 @@
             .values
             .map { group ->
                 val step = group.first().task.step
-                val priority = manifest.queue(step.job.accepted.spec.queue)?.priority ?: LOWEST_PRIORITY
                 Victim(
                     group,
-                    priority,
+                    ranks.of(step.job),
                     step.countedNeed,
                     group.map { it.session.id },
                     group.sumOf { lostBy(it) },
@@ -218,7 +220,6 @@
 
         // Victims stop within 0.9 s; an unused reservation does not keep the room for longer.
         const val RESERVED_MS = 2_000L
-        const val LOWEST_PRIORITY = 9
         const val CORES_PER_ACCELERATOR = 8
 
         // Work that ends after three times its objective earns nothing.
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ranks.kt
@@ -0,0 +1,31 @@
+package org.orioleferry.scheduler.owner
+
+import org.orioleferry.scheduler.model.Manifest
+import org.orioleferry.scheduler.placement.Rank
+import org.orioleferry.scheduler.placement.coveredWorkspaces
+
+/** Ranks of jobs under one manifest: urgent work within its workspace's guarantee goes before all other work. */
+internal class Ranks(
+    private val manifest: Manifest,
+    live: Collection<Job>,
+) {
+    private val covered =
+        coveredWorkspaces(
+            live
+                .filter { priorityOf(it) == Rank.URGENT }
+                .groupingBy { it.accepted.spec.workspace }
+                .fold(0) { sum, job -> sum + job.widestNeed },
+        ) { workspace -> manifest.workspace(workspace)?.guaranteedAccelerators ?: 0 }
+
+    fun of(job: Job): Int {
+        val priority = priorityOf(job)
+        return if (priority == Rank.URGENT && job.accepted.spec.workspace in covered) Rank.GUARANTEED else priority
+    }
+
+    private fun priorityOf(job: Job): Int = manifest.queue(job.accepted.spec.queue)?.priority ?: LOWEST_PRIORITY
+
+    private companion object {
+        // Work of a queue that the manifest no longer has is finished after all other work.
+        const val LOWEST_PRIORITY = 9
+    }
+}
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UrgentUse.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UrgentUse.kt
@@ -3,7 +3,12 @@
 import kotlin.math.exp
 
 /** How many accelerators urgent work has used of late, and how many to keep free for its return. */
-internal class UrgentUse {
+internal class UrgentUse(
+    stopMs: Long,
+) {
+    // Where stops are quick a preemption costs urgent work little, and room that stands free costs the other work more.
+    private val largestShare = (stopMs * SHARE_PER_STOP_MS).coerceIn(SMALLEST_SHARE, LARGEST_SHARE)
+
     private class Peak(
         var accelerators: Double,
         var atMs: Long,
@@ -28,7 +33,7 @@
             val faded = peak.accelerators * exp(-(nowMs - peak.atMs) / FADING_MS)
             peak.accelerators = maxOf(faded, used.toDouble())
             peak.atMs = nowMs
-            minOf(peak.accelerators - used, total * LARGEST_SHARE).toInt()
+            minOf(peak.accelerators - used, total * largestShare).toInt()
         }
 
     private companion object {
@@ -36,6 +41,8 @@
         const val FADING_MS = 5_000.0
 
         // Routine work keeps most of the service also after a large burst.
+        const val SMALLEST_SHARE = 0.15
         const val LARGEST_SHARE = 0.15
+        const val SHARE_PER_STOP_MS = 0.15 / 900
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Pass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Pass.kt
@@ -173,7 +173,7 @@
     private fun <K> speedTier(
         demand: Demand<K>,
         room: WorkerRoom,
-    ): Int = if (demand.priority == 0) -(room.speed * SPEED_TIERS).roundToInt() else 0
+    ): Int = if (Rank.isUrgent(demand.priority)) -(room.speed * SPEED_TIERS).roundToInt() else 0
 
     private fun <K> leftover(
         demand: Demand<K>,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -25,9 +25,33 @@
     var fills: Boolean = false,
 )
 
+/** Ranks of work by which a pass orders demands and chooses victims; lower goes first. */
+internal object Rank {
+    /** Work of the highest priority within the accelerators that are guaranteed to its workspace. */
+    const val GUARANTEED = -1
+
+    /** Other work of the highest priority. All further priorities are ranks of their own. */
+    const val URGENT = 0
+
+    /** Whether work of [rank] has the highest priority. */
+    fun isUrgent(rank: Int): Boolean = rank <= URGENT
+}
+
+/**
+ * Workspaces whose urgent work fits into their guarantee as a whole, so that its room can be reclaimed from others.
+ *
+ * @param needed accelerators that all open urgent jobs need, by workspace.
+ * @param guaranteed accelerators that belong to the workspace.
+ */
+internal fun coveredWorkspaces(
+    needed: Map<String, Int>,
+    guaranteed: (workspace: String) -> Int,
+): Set<String> = needed.filter { (workspace, accelerators) -> accelerators <= guaranteed(workspace) }.keys
+
 /**
  * Tasks of one step that wait for a worker.
  *
+ * @property priority a [Rank], or a priority below the highest.
  * @property width tasks that want to start; all or none when [isGang].
  * @property order place in the queue: lower goes first.
  * @property used tasks of the step by worker, for [maxPerWorker].
@@ -57,6 +81,7 @@
 /**
  * A group of runs that can be stopped only together.
  *
+ * @property priority a [Rank], or a priority below the highest; work is stopped only for work that ranks before it.
  * @property lost work that would be thrown away, in core-ms with an accelerator counted as 8 cores.
  * @property remainingMs time until the last of the runs ends by itself, from their progress so far.
  */
@@ -116,7 +141,7 @@
             others
                 .sortedWith(
                     compareBy({ it.priority }, { it.order }),
-                ).partition { it.priority == 0 }
+                ).partition { Rank.isUrgent(it.priority) }
         urgent.forEach { demand ->
             val workers = pass.place(demand)
             if (workers.isNotEmpty()) placed += Placed(demand, workers)
@@ -149,8 +174,8 @@
  * @property troubledWaitMs wait after which troubled workers are used as well. Below the same 3 s.
  * @property patienceMs wait after which a step keeps room that comes free from work behind it.
  * @property heldShare largest share of a service's workers that is kept so.
- * @property stopWaitMs remaining time up to which an urgent step waits for a run instead of stopping it. Stops take up to
- *   200 ms on Tallyferry and 900 ms on Omotnica Split.
+ * @property stopMs remaining time up to which an urgent step waits for a run instead of stopping it: as long as a stop
+ *   takes.
  */
 internal data class PlannerSettings(
     val remoteWaitMs: Long = 1_500,
@@ -159,5 +184,5 @@
     val troubledWaitMs: Long = 2_000,
     val patienceMs: Long = 500,
     val heldShare: Double = 0.25,
-    val stopWaitMs: Long = 600,
+    val stopMs: Long = 900,
 )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -36,9 +36,14 @@
     }
 
     // Waiting for a run that is about to end takes no longer than stopping it, and loses nothing.
-    private fun endsSoon(victim: Victim<V>) = victim.remainingMs <= settings.stopWaitMs
+    private fun endsSoon(victim: Victim<V>) = victim.remainingMs <= settings.stopMs
 
-    private fun costOf(victim: Victim<V>): Long = if (endsSoon(victim)) 0 else victim.lost
+    private fun costOf(victim: Victim<V>): Long =
+        when {
+            endsSoon(victim) -> 0
+            Rank.isUrgent(victim.priority) -> victim.lost * URGENT_WEIGHT
+            else -> victim.lost
+        }
 
     private class Choice<V>(
         val workers: List<String>,
@@ -171,5 +176,10 @@
         }
     }
 
+    private companion object {
+        // An urgent victim misses its objective, so urgent work is stopped only where nothing else makes room.
+        const val URGENT_WEIGHT = 100
+    }
+
     private fun Victim<V>.weight(): Long = 1L + workers.size * (need.accelerators * 8L + need.cpuMillis / 1_000)
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -49,6 +49,47 @@
         reserve: Int = 0,
     ): Plan<String, String> = planner.plan(rooms, demands, victims, mapOf("pool" to reserve))
 
+    // Guards against guaranteed accelerators that stay with another workspace's flood of urgent work (RECLAIM on
+    // fresh-00b3 of the grown Tallyferry: a job of 4 accelerators waited longer than 2.7 s).
+    @Test
+    fun `should reclaim guaranteed accelerators from urgent work beyond another guarantee`() {
+        val rooms = listOf(room("w0", free = 0), room("w1", free = 0))
+        val flood = List(2) { Victim("flood$it", Rank.URGENT, accelerators(8), listOf("w$it"), lost = 10_000) }
+        val owed = demand("owed", width = 1, each = 8, priority = Rank.GUARANTEED)
+        expectThat(
+            plan(rooms, listOf(owed), flood)
+                .preemptions
+                .single()
+                .victims,
+        ).hasSize(1)
+        val other = demand("other", width = 1, each = 8, priority = Rank.URGENT)
+        expectThat(plan(rooms, listOf(other), flood).preemptions).isEmpty()
+    }
+
+    // Guards against stopping urgent work while routine work could make the room.
+    @Test
+    fun `should stop urgent work only where routine work does not make room`() {
+        val rooms = listOf(room("w0", free = 0), room("w1", free = 0))
+        val victims =
+            listOf(
+                Victim("urgent", Rank.URGENT, accelerators(8), listOf("w0"), lost = 10_000),
+                Victim("routine", 2, accelerators(8), listOf("w1"), lost = 500_000),
+            )
+        val owed = demand("owed", width = 1, each = 8, priority = Rank.GUARANTEED)
+        expectThat(
+            plan(rooms, listOf(owed), victims)
+                .preemptions
+                .single()
+                .victims,
+        ).isEqualTo(listOf("routine"))
+    }
+
+    @Test
+    fun `should cover a workspace only while all its urgent work fits its guarantee`() {
+        val covered = coveredWorkspaces(mapOf("small" to 8, "large" to 40, "none" to 1)) { if (it == "none") 0 else 16 }
+        expectThat(covered).isEqualTo(setOf("small"))
+    }
+
     // Guards against a gang of which only some members start.
     @Test
     fun `should start a gang whole or not at all`() {
