Do not repeat a start whose run has ended meanwhile

The start of a short task at w2 had no answer; the worker listed the task as done 0.2 s before the try timed out, crashed, and the second try started the task in the worker's new life: a start after a noted end. Ruled out: a lost row (the end was stored), a late order (the second try was sent 0.2 s after the end was taken note of). Change: each try first checks that the run is still open. Before: the new case in WorkerFaultsTest fails with 'starts after it was done'.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -62,7 +62,8 @@
         var result: StartResult = StartResult.Unknown("not sent")
         var mayHaveStarted = false
         for (attempt in 1..START_TRIES) {
-            if (!ownership.mayDecide || run.state == RunState.STOPPING) break
+            // The run may have ended, and its worker started anew, while an earlier try waited for its answer.
+            if (!ownership.mayDecide || run.state == RunState.STOPPING || run.task.run !== run) break
             result = parts.link.start(run.session.listed, orderOf(run))
             if (result !is StartResult.Unknown) break
             mayHaveStarted = true
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
@@ -98,4 +98,24 @@
             expectThat(world.records.violations).isEmpty()
             expectThat(world.records.runsOf("a")).hasSize(4)
         }
+
+    // Guards against a second start of a task that is done: the repeat of a start without an answer reached the new life of
+    // a worker that had listed the end before it crashed (soak seed 24).
+    @Test
+    fun `should not repeat a start whose run has ended meanwhile`() =
+        runTest {
+            val world = World(this, workers = 1) { task, _ -> Outcome(if (task.job == "long") 20_000 else 100) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "long", "routine", StepSpec(1, World.ONE, 20_000))
+            delay(500)
+            val worker = world.workers.values.single()
+            worker.losesStartAnswers = 1
+            world.submit(one, "short", "routine", StepSpec(1, World.ONE, 100))
+            delay(500)
+            worker.crash()
+            delay(3_000)
+            expectThat(world.records.violations).isEmpty()
+            expectThat(world.records.runsOf("short")).hasSize(1)
+        }
 }
