Order jobs by what can still end in time

Change: jobs that can end within their objective go by due time, those that can only end late behind them, those that earn nothing any more last.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
@@ -107,6 +107,11 @@
             steps.forEachIndexed { at, step -> ends[at] = step.estimateMs + (step.after.maxOfOrNull { ends[it] } ?: 0) }
             return ends.maxOrNull() ?: 0
         }
+
+    /** Sum of the estimates along the longest chain that begins with [step], in ms. */
+    public fun chainFromMs(step: Int): Long =
+        steps[step].estimateMs +
+            (steps.indices.filter { step in steps[it].after }.maxOfOrNull { chainFromMs(it) } ?: 0)
 }
 
 /** The stored acceptance of a job; the accepting instance writes it, a cancellation changes it. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -8,6 +8,7 @@
 import org.orioleferry.scheduler.placement.SpeedBook
 import org.orioleferry.scheduler.placement.Victim
 import org.orioleferry.scheduler.placement.WorkerRoom
+import org.orioleferry.scheduler.placement.dueOrder
 
 /** Turns the owner's state into a [Planner] pass and carries its plan out. */
 internal class Placement(
@@ -132,13 +133,16 @@
         )
     }
 
-    /** Latest time at which the step's job is on time; jobs that are too late to count go behind. */
     private fun orderOf(step: StepRun): Long {
         val spec = step.job.accepted.spec
         val begin = spec.schedule?.dueMs(step.occurrence) ?: step.job.accepted.acceptedMs
         val objective = book.objectiveOf(step.job)
-        val isTooLate = clock.wallMs() > begin + LATE_FACTOR * objective
-        return begin + objective + if (isTooLate) TOO_LATE_MS else 0
+        return dueOrder(
+            clock.wallMs(),
+            begin + objective,
+            begin + LATE_FACTOR * objective,
+            spec.chainFromMs(step.index),
+        )
     }
 
     private fun rooms(): List<WorkerRoom> =
@@ -224,7 +228,6 @@
 
         // Work that ends after three times its objective earns nothing.
         const val LATE_FACTOR = 3
-        const val TOO_LATE_MS = 600_000L
 
         const val PERCENT = 100
 
