Serve queues with an advice service

Cause: jobs of queues whose policy names the workers were refused at once, since starts need a ticket. Change: the owner asks about 30 workers at a time for a step that waits, near the data and with room first, and about further ones when the step still waits; tickets end with their time or their worker's life; a refused ticket is asked for again. Before: AdviceTest cannot be written against the earlier interface; every such job was refused with 503.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
@@ -54,5 +54,6 @@
     WORKER_DRAINING(8413),
     WORKER_SUSPECTED(8414),
     STEP_PREEMPTS(8415),
+    STEP_ADVISED(8416),
     INTERNAL_ERROR(8901),
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/Manifest.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/Manifest.kt
@@ -7,7 +7,7 @@
  * @property priority 0 is the most urgent and may preempt others.
  * @property stretch multiple of the longest chain of work within which a job should be done.
  * @property objectiveMs time added to that, in ms.
- * @property needsAdvice whether a step needs tickets from the advice service.
+ * @property advice set when a step needs tickets from the advice service.
  */
 public data class Queue(
     val name: String,
@@ -20,7 +20,13 @@
     val objectiveMs: Long,
     val timeoutMs: Long,
     val isPublic: Boolean,
-    val needsAdvice: Boolean = false,
+    val advice: AdviceTerms? = null,
+)
+
+/** Times of the advice service for a queue: an answer takes [decisionMs] and [perWorkerMs] for each worker, in ms. */
+public data class AdviceTerms(
+    val decisionMs: Long,
+    val perWorkerMs: Long,
 )
 
 /** A workspace with its keys and the accelerators that are its own for jobs of priority 0. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -31,6 +31,7 @@
     val queue: String get() = task.step.job.accepted.spec.queue
     val estimateMs: Long get() = task.step.spec.estimateMs
     var checkpoint: String = ""
+    var ticket: String = ""
     var percent: Double = 0.0
 
     /** The first progress that the worker listed, and when: a resumed run does not begin at 0. */
@@ -89,6 +90,8 @@
     var remaining: Int = spec.count
         private set
 
+    val advice = StepAdvice()
+
     /** Restarts of the step because a worker stood still. */
     var stalls = 0
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -15,10 +15,11 @@
 import org.orioleferry.scheduler.store.Rows
 import org.orioleferry.scheduler.store.ScanResult
 import org.orioleferry.scheduler.store.scanAll
+import org.orioleferry.scheduler.workers.AdviceService
 import org.orioleferry.scheduler.workers.WorkerDirectory
 import org.orioleferry.scheduler.workers.WorkerLink
 
-/** What an owner needs of its process. [manifest] is the newest one in force here. */
+/** What an owner needs of its process. [manifest] is the newest one in force here; [advice] is null where there is none. */
 public class OwnerParts(
     public val store: RowStore,
     public val link: WorkerLink,
@@ -27,6 +28,7 @@
     public val clock: Clock,
     public val settings: SchedulerSettings,
     public val log: DecisionLog,
+    public val advice: AdviceService? = null,
 )
 
 /**
@@ -53,7 +55,8 @@
             val runs = RunControl(parts, ownership, book, writer, orders, watch, this, replan)
             orders.onGone = runs::onGone
             val fleet = Fleet(parts, ownership, runs, this)
-            val placement = Placement(parts, ownership, book, fleet, orders, watch.speeds, runs::stopIncomplete)
+            val advice = Advice(parts, this, replan)
+            val placement = Placement(parts, ownership, book, fleet, orders, watch.speeds, advice, runs::stopIncomplete)
             writer.onStored = { fleet.wakeWaiting() }
             val jobsVersion = load() ?: return@coroutineScope
             launch { writer.run() }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -18,6 +18,7 @@
     private val fleet: Fleet,
     private val orders: RunOrders,
     private val speeds: SpeedBook,
+    private val advice: Advice,
     private val stopIncomplete: (StepRun) -> Unit,
 ) {
     private val planner = Planner(PlannerSettings(stopMs = parts.settings.stopMs))
@@ -130,9 +131,13 @@
             serves = spec.latencyTargetMs > 0,
             fills = spec.usesSpareCpu,
             reserved = step.reserved.map { it.id },
+            allowed = queue?.advice?.let { terms -> advice.allowed(step, terms, usableOf(queue.service)) },
         )
     }
 
+    private fun usableOf(service: String): List<WorkerSession> =
+        fleet.sessions.filter { it.listed.service == service && fleet.isUsable(it) }
+
     private fun orderOf(step: StepRun): Long {
         val spec = step.job.accepted.spec
         val begin = spec.schedule?.dueMs(step.occurrence) ?: step.job.accepted.acceptedMs
@@ -213,7 +218,14 @@
             val session = fleet[worker] ?: return@forEach
             val isAway = step.spec.dataRack.isNotEmpty() && step.spec.dataRack != session.listed.rack
             val attempt = if (step.spec.isGang) gangAttempt else orders.nextAttempt(task)
-            orders.start(task, session, attempt, isUrgent, isNearData = !isSpread && !isAway)
+            orders.start(
+                task,
+                session,
+                attempt,
+                isUrgent,
+                isNearData = !isSpread && !isAway,
+                ticket = advice.ticketOf(step, session),
+            )
         }
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -35,9 +35,11 @@
         attempt: Int,
         isUrgent: Boolean,
         isNearData: Boolean,
+        ticket: String,
     ) {
         val run = Run(RunId(task.id, attempt), task, session, RunState.STARTING, clock.monotonicMs())
         run.checkpoint = task.checkpoint
+        run.ticket = ticket
         run.isUrgent = isUrgent
         run.isTelling = isNearData && task.checkpoint.isEmpty() && !task.step.spec.isLasting
         attach(run)
@@ -110,6 +112,7 @@
             deadlineMs = run.session.nextDeadlineMs(),
             fence = ownership.epoch,
             checkpoint = run.checkpoint,
+            ticket = run.ticket,
         )
 
     private fun onRefused(
@@ -122,7 +125,10 @@
             StartRefusal.FENCED -> ownership.isLost = true
             StartRefusal.UNHEALTHY, StartRefusal.NO_ROOM -> run.session.avoidUntilMs = now + REFUSED_PAUSE_MS
             StartRefusal.INVALID -> run.task.notBeforeMs = now + INVALID_PAUSE_MS
-            StartRefusal.OLD_ATTEMPT, StartRefusal.LATE, StartRefusal.NO_TICKET, StartRefusal.OTHER_LIFE -> Unit
+            StartRefusal.NO_TICKET ->
+                run.task.step.advice.tickets
+                    .remove(run.session.id)
+            StartRefusal.OLD_ATTEMPT, StartRefusal.LATE, StartRefusal.OTHER_LIFE -> Unit
         }
         detach(run)
         stopGangOf(run, "a member was refused")
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Pass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Pass.kt
@@ -228,6 +228,7 @@
     room: WorkerRoom,
 ): Boolean =
     room.service == demand.service &&
+        (demand.allowed == null || room.id in demand.allowed) &&
         (demand.label.isEmpty() || demand.label in room.labels) &&
         !(demand.serves && room.fills) &&
         !(demand.fills && room.serves)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -56,6 +56,7 @@
  * @property order place in the queue: lower goes first.
  * @property used tasks of the step by worker, for [maxPerWorker].
  * @property waitedMs time since the step became ready.
+ * @property allowed ids of the only workers that may run the step, or null when all may.
  * @property reserved workers that were emptied for this step, one entry for each task.
  */
 internal data class Demand<K>(
@@ -76,6 +77,7 @@
     val serves: Boolean = false,
     val fills: Boolean = false,
     val reserved: List<String> = emptyList(),
+    val allowed: Set<String>? = null,
 )
 
 /**
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/AdviceService.kt
@@ -0,0 +1,31 @@
+package org.orioleferry.scheduler.workers
+
+/** Name of one occurrence of a step. */
+public data class StepId(
+    val job: String,
+    val occurrence: Int,
+    val step: Int,
+)
+
+/** Answer of the advice service. */
+public sealed interface AdviceResult {
+    /** Tickets by id of the workers that may run the step; each is valid for [validMs] ms and one life of its worker. */
+    public data class Allowed(
+        val tickets: Map<String, String>,
+        val validMs: Long,
+    ) : AdviceResult
+
+    public data class Unavailable(
+        val reason: String,
+    ) : AdviceResult
+}
+
+/** Tells which workers the policy of a queue allows to run a step. */
+public fun interface AdviceService {
+    /** Asks about [workers], at most 100, and waits at most [timeoutMs] for the answer. */
+    public suspend fun ask(
+        step: StepId,
+        workers: List<String>,
+        timeoutMs: Long,
+    ): AdviceResult
+}
--- /dev/null
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/AdviceTest.kt
@@ -0,0 +1,94 @@
+package org.orioleferry.scheduler
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.orioleferry.scheduler.model.AdviceTerms
+import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.StepSpec
+import org.orioleferry.scheduler.workers.AdviceResult
+import org.orioleferry.scheduler.workers.StepId
+import org.orioleferry.scheduler.world.World
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+
+class AdviceTest {
+    private fun TestScope.worldWithAdvice(
+        workers: Int,
+        answer: (List<String>) -> AdviceResult,
+    ): World {
+        val world = World(this, workers)
+        val queues = world.manifest.queues.map { it.copy(advice = AdviceTerms(20, 2)) }
+        world.manifest = world.manifest.copy(queues = queues)
+        world.workers.values.forEach { worker -> worker.ticketFor = { "ticket-${worker.id}" } }
+        world.advice = { _: StepId, asked -> answer(asked) }
+        return world
+    }
+
+    private fun allow(workers: List<String>) = AdviceResult.Allowed(workers.associateWith { "ticket-$it" }, VALID_MS)
+
+    // Guards against starts on workers that the queue's policy does not allow, and against starts without a ticket.
+    @Test
+    fun `should start a step with a ticket on allowed workers only`() =
+        runTest {
+            val world = worldWithAdvice(4) { asked -> allow(asked.filter { it == "w2" }) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(3, World.ONE, 1_000))
+            delay(3_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.runsOf("a").filter { it.worker != "w2" }).isEmpty()
+        }
+
+    // Guards against a step that waits for ever because the first workers that were asked about are not allowed.
+    @Test
+    fun `should ask about further workers when the first ones are not enough`() =
+        runTest {
+            val world = worldWithAdvice(70) { asked -> allow(asked.filter { it == "w69" }) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(1, World.ONE, 1_000))
+            delay(4_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+        }
+
+    // Guards against a step that is given up, or polled for, while the service turns calls away.
+    @Test
+    fun `should ask again after the service was unavailable`() =
+        runTest {
+            var calls = 0
+            val world = worldWithAdvice(2) { if (++calls < 4) AdviceResult.Unavailable("status 429") else allow(it) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(1, World.ONE, 1_000))
+            delay(5_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(calls).isEqualTo(4)
+        }
+
+    // Guards against a ticket of an earlier life: the worker refuses it, and the step has to get another one.
+    @Test
+    fun `should get a new ticket when a worker refuses the old one`() =
+        runTest {
+            val world = worldWithAdvice(1) { allow(it) }
+            var refusals = 0
+            world.workers.values
+                .single()
+                .ticketFor = { if (refusals++ == 0) "another" else "ticket-w0" }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(1, World.ONE, 1_000))
+            delay(6_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.runsOf("a")).hasSize(1)
+            expectThat(refusals).isGreaterThan(1)
+        }
+
+    private companion object {
+        const val VALID_MS = 3_000L
+    }
+}
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedWorker.kt
@@ -60,6 +60,9 @@
     var needOf: (StartOrder) -> Resources = { Resources(1_000, 1_000, 1) }
     var losesStartAnswers = 0
 
+    /** Ticket that a start must carry, or null when none is needed. */
+    var ticketFor: (TaskId) -> String? = { null }
+
     fun listed(): ListedWorker =
         ListedWorker(id, id, "pool", "dc", rack, setOf("a", rack), room, 1_000L + life, isDraining)
 
@@ -85,6 +88,8 @@
         ) {
             return StartResult.Refused(StartRefusal.OLD_ATTEMPT)
         }
+        val ticket = ticketFor(order.run.task)
+        if (ticket != null && order.ticket != ticket) return StartResult.Refused(StartRefusal.NO_TICKET)
         val used = runs.values.fold(Resources()) { sum, run -> sum + needOf(run.order) }
         if (!needOf(order).fitsIn(room - used)) return StartResult.Refused(StartRefusal.NO_ROOM)
         val outcome = outcomeOf(order.run.task, order.run.attempt)
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
@@ -24,12 +24,14 @@
 import org.orioleferry.scheduler.owner.OwnerParts
 import org.orioleferry.scheduler.owner.leadTerm
 import org.orioleferry.scheduler.store.StoreHealth
+import org.orioleferry.scheduler.workers.AdviceResult
 import org.orioleferry.scheduler.workers.DirectoryResult
 import org.orioleferry.scheduler.workers.HoldResult
 import org.orioleferry.scheduler.workers.ListedWorker
 import org.orioleferry.scheduler.workers.RunId
 import org.orioleferry.scheduler.workers.StartOrder
 import org.orioleferry.scheduler.workers.StartResult
+import org.orioleferry.scheduler.workers.StepId
 import org.orioleferry.scheduler.workers.StopResult
 import org.orioleferry.scheduler.workers.TaskId
 import org.orioleferry.scheduler.workers.WorkerDirectory
@@ -64,6 +66,9 @@
             SimulatedWorker("w$it", "r${it / 2}", WORKER_ROOM, background, clock, records, outcomeOf)
         }.associateBy { it.id }
     val delisted = HashSet<String>()
+
+    /** The advice service. */
+    var advice: (StepId, List<String>) -> AdviceResult = { _, _ -> AdviceResult.Unavailable("none") }
     var manifest =
         Manifest(
             version = 1,
@@ -86,7 +91,10 @@
         val desk = JobDesk(store, clock, NO_LOG) { health.isAway }
         val link = Link()
         private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs)
-        private val parts = OwnerParts(store, link, { Directory(this) }, { manifest }, clock, settings, NO_LOG)
+        private val parts =
+            OwnerParts(store, link, { Directory(this) }, { manifest }, clock, settings, NO_LOG) { step, asked, _ ->
+                advice(step, asked)
+            }
         val election = Election(store, clock, settings, NO_LOG) { leadTerm(parts, it) }
         private var work: Job? = null
 
