Bound the searches for victims and the share of passes

Ruled out: routine demands (4 to 15 ms of the pass). Change: a demand that found no victims stands for all that ask for at least as much in the same pass; 16 searches a pass; the pause between passes is twice the last pass.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -152,11 +152,14 @@
     }
 
     private suspend fun planLoop(placement: Placement) {
+        var lastPassMs = 0L
         while (!ownership.isLost) {
             val nextMs = placement.nextTimerMs()
             withTimeoutOrNull(nextMs) { planSignal.receive() }
-            delay(GROUP_MS)
+            delay(maxOf(GROUP_MS, lastPassMs * PAUSE_FACTOR))
+            val beganMs = clock.monotonicMs()
             if (ownership.mayDecide) placement.pass() else delay(RETRY_MS)
+            lastPassMs = minOf(clock.monotonicMs() - beganMs, LONGEST_PASS_MS)
         }
     }
 
@@ -177,6 +180,11 @@
 
         // Jobs and ends that arrive within this time are decided together.
         const val GROUP_MS = 3L
+
+        // Passes take at most a third of the processor, so that calls and renewals are answered in between; urgent work
+        // still starts within the stops that it waits for.
+        const val PAUSE_FACTOR = 2
+        const val LONGEST_PASS_MS = 100L
         const val PURGE_MS = 10_000L
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -178,6 +178,8 @@
  * @property heldShare largest share of a service's workers that is kept so.
  * @property stopMs remaining time up to which an urgent step waits for a run instead of stopping it: as long as a stop
  *   takes.
+ * @property mostSearches searches for victims in a pass; each looks at all workers, and further demands get theirs in the
+ *   next pass.
  */
 internal data class PlannerSettings(
     val remoteWaitMs: Long = 1_500,
@@ -187,4 +189,5 @@
     val patienceMs: Long = 500,
     val heldShare: Double = 0.25,
     val stopMs: Long = 900,
+    val mostSearches: Int = 16,
 )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -15,6 +15,8 @@
     private val settings: PlannerSettings,
 ) {
     private val available = LinkedHashSet(victims)
+    private val failed = ArrayList<Demand<*>>()
+    private var searches = 0
     private val byWorker = HashMap<String, MutableList<Victim<V>>>()
 
     init {
@@ -25,16 +27,34 @@
 
     /** Null when no set of victims makes room for the whole demand. The victims that are chosen are not offered again. */
     fun <K> find(demand: Demand<K>): Preemption<K, V>? {
-        if (available.none { it.priority > demand.priority }) return null
+        if (available.none { it.priority > demand.priority } || failed.any { demand.isAtLeast(it) }) return null
+        if (searches == settings.mostSearches) return null
+        searches++
         val usable = rooms.filter { accepts(demand, it) && !it.isTroubled }
         val near = usable.filter { demand.dataRack.isEmpty() || it.rack == demand.dataRack }
         val groups = if (demand.sameRack) near.groupBy { it.rack }.values.toList() else listOf(near)
-        val best = groups.mapNotNull { Search(demand, it).run() }.minByOrNull { it.cost } ?: return null
+        val best = groups.mapNotNull { Search(demand, it).run() }.minByOrNull { it.cost }
+        if (best == null) {
+            failed += demand
+            return null
+        }
         available.removeAll(best.victims)
         val stopped = best.victims.filterNot { endsSoon(it) }
         return Preemption(demand, best.workers, stopped.map { it.key })
     }
 
+    /** Whether a demand that got no room shows that this one gets none either: victims only become fewer in a pass. */
+    private fun Demand<*>.isAtLeast(other: Demand<*>): Boolean =
+        other.need.fitsIn(need) &&
+            width >= other.width &&
+            priority >= other.priority &&
+            service == other.service &&
+            label == other.label &&
+            dataRack == other.dataRack &&
+            maxPerWorker == other.maxPerWorker &&
+            allowed == other.allowed &&
+            (sameRack || !other.sameRack)
+
     // Waiting for a run that is about to end takes no longer than stopping it, and loses nothing.
     private fun endsSoon(victim: Victim<V>) = victim.remainingMs <= settings.stopMs
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -66,6 +66,18 @@
         expectThat(plan(rooms, listOf(other), flood).preemptions).isEmpty()
     }
 
+    // Pattern: a flood of wide urgent gangs that no preemption can serve; a search for each of them took 50 ms a pass on
+    // 245 workers, and narrow urgent work behind them must still find its victims.
+    @Test
+    fun `should search once for demands that cannot be served and go on to those that can`() {
+        val rooms = List(4) { room("w$it", free = 0) }
+        val victims = List(4) { Victim("r$it", 2, accelerators(8), listOf("w$it"), lost = 10_000) }
+        val wide = List(40) { demand("wide$it", width = 5 + it, each = 8, priority = 0, isGang = true) }
+        val narrow = demand("narrow", width = 1, each = 8, priority = 0)
+        val plan = plan(rooms, wide + narrow, victims)
+        expectThat(plan.preemptions.map { it.demand.key }).isEqualTo(listOf("narrow"))
+    }
+
     // Guards against stopping urgent work while routine work could make the room.
     @Test
     fun `should stop urgent work only where routine work does not make room`() {
