--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/RandomFaultsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/RandomFaultsTest.kt
@@ -38,7 +38,7 @@
             val id = "job-$at"
             val steps =
                 arrayOf(
-                    StepSpec(random.nextInt(1, 8), World.ONE, 2_000),
+                    StepSpec(random.nextInt(1, 8), World.ONE, 2_000, isGang = random.nextInt(3) == 0),
                     StepSpec(2, World.ONE, 500, after = listOf(0)),
                 )
             val queue = if (random.nextInt(3) == 0) "urgent" else "routine"
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
@@ -118,4 +118,27 @@
             expectThat(world.records.violations).isEmpty()
             expectThat(world.records.runsOf("short")).hasSize(1)
         }
+
+    // Guards against a gang of which a part runs on: the other members end as broken and all start again together.
+    @Test
+    fun `should start a gang again as a whole when the worker of a member crashes`() =
+        runTest {
+            val world = World(this, workers = 3) { _, _ -> Outcome(2_000) }
+            val one = world.Instance("one").also { it.start() }
+            delay(500)
+            world.submit(one, "a", "routine", StepSpec(12, World.ONE, 2_000, isGang = true))
+            delay(1_000)
+            world.workers
+                .getValue(
+                    world.records
+                        .runsOf("a")
+                        .first()
+                        .worker,
+                ).crash()
+            delay(9_000)
+            expectThat(world.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(world.records.violations).isEmpty()
+            val attempts = world.records.runsOf("a").groupBy { it.run.attempt }
+            expectThat(attempts.values.map { it.size }.toSet()).isEqualTo(setOf(12))
+        }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/SimulatedWorker.kt
@@ -34,6 +34,7 @@
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val records: RunRecords,
+    private val gangs: SimulatedGangs = SimulatedGangs { 0 },
     private val outcomeOf: (TaskId, Int) -> Outcome,
 ) {
     private class Present(
@@ -67,8 +68,10 @@
         ListedWorker(id, id, "pool", "dc", rack, setOf("a", rack), room, 1_000L + life, isDraining)
 
     fun crash() {
-        runs.keys.forEach { records.ended(it, id, RunEnding.STOPPED, clock.monotonicMs()) }
+        val lost = runs.keys.toList()
+        lost.forEach { records.ended(it, id, RunEnding.STOPPED, clock.monotonicMs()) }
         runs.clear()
+        lost.forEach { gangs.ended(it, RunEnding.STOPPED) }
         ends.clear()
         closedAttempts.clear()
         endNumber = 0
@@ -95,6 +98,7 @@
         val outcome = outcomeOf(order.run.task, order.run.attempt)
         runs[order.run] = Present(order, outcome, clock.monotonicMs())
         records.started(order, id, clock.monotonicMs())
+        gangs.arrived(order.run, this)
         scope.launch { work(order.run, outcome) }
         if (losesStartAnswers > 0) {
             losesStartAnswers--
@@ -108,6 +112,7 @@
         outcome: Outcome,
     ) {
         val began = life
+        if (!awaitGang(run, began)) return
         val endMs = clock.monotonicMs() + outcome.workMs
         while (life == began && run in runs) {
             val now = clock.monotonicMs()
@@ -117,7 +122,23 @@
         }
     }
 
-    private fun end(
+    /** Whether the run has its whole gang beside it; a member that waits too long ends alone. */
+    private suspend fun awaitGang(
+        run: RunId,
+        began: Int,
+    ): Boolean {
+        val limitMs = clock.monotonicMs() + GANG_MS
+        while (!gangs.isWhole(run)) {
+            if (life != began || run !in runs) return false
+            val now = clock.monotonicMs()
+            if (now >= deadlineMs) return false.also { end(run, RunEnding.LAPSED) }
+            if (now >= limitMs) return false.also { end(run, RunEnding.ALONE) }
+            delay(STALL_CHECK_MS)
+        }
+        return life == began && run in runs
+    }
+
+    fun end(
         run: RunId,
         ending: RunEnding,
     ) {
@@ -126,6 +147,7 @@
         ends += ListedEnd(++endNumber, run, ending, "")
         records.ended(run, id, ending, clock.monotonicMs())
         endSignal.value = endSignal.value + 1
+        gangs.ended(run, ending)
     }
 
     fun stop(
@@ -167,5 +189,8 @@
     private companion object {
         const val STOP_MS = 100L
         const val STALL_CHECK_MS = 50L
+
+        // The shortest of the deployments.
+        const val GANG_MS = 3_000L
     }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/world/World.kt
@@ -61,9 +61,14 @@
     val rows = SimulatedRows().also { it.nowMs = clock::monotonicMs }
     val records = RunRecords()
     private val background: CoroutineScope = scope.backgroundScope
+    private val steps = HashMap<String, List<StepSpec>>()
+    private val gangs =
+        SimulatedGangs { task ->
+            steps[task.job]?.getOrNull(task.step)?.takeIf { it.isGang }?.count ?: 0
+        }
     val workers =
         List(workers) {
-            SimulatedWorker("w$it", "r${it / 2}", WORKER_ROOM, background, clock, records, outcomeOf)
+            SimulatedWorker("w$it", "r${it / 2}", WORKER_ROOM, background, clock, records, gangs, outcomeOf)
         }.associateBy { it.id }
     val delisted = HashSet<String>()
 
@@ -177,7 +182,10 @@
         id: String,
         queue: String,
         vararg steps: StepSpec,
-    ): SubmitResult = instance.desk.submit(JobSpec(id, queue, "pool", "team", "payload", steps.toList()), 2_000)
+    ): SubmitResult {
+        this.steps[id] = steps.toList()
+        return instance.desk.submit(JobSpec(id, queue, "pool", "team", "payload", steps.toList()), 2_000)
+    }
 
     suspend fun stateOf(
         instance: Instance,
