Search again for steps with a limit per worker

Cause: found by reading the change. A step with a limit per worker that found no victims stood for all later ones of its shape, also for those whose tasks do not fill the same workers, in each pass anew. Change: steps with a limit per worker neither stand for others nor are left out. Before: the new case in PlannerTest fails. After: it passes.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -51,7 +51,9 @@
             service == other.service &&
             label == other.label &&
             dataRack == other.dataRack &&
-            maxPerWorker == other.maxPerWorker &&
+            // Limits per worker depend on where each step already runs.
+            maxPerWorker == 0 &&
+            other.maxPerWorker == 0 &&
             allowed == other.allowed &&
             (sameRack || !other.sameRack)
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -78,6 +78,17 @@
         expectThat(plan.preemptions.map { it.demand.key }).isEqualTo(listOf("narrow"))
     }
 
+    // Guards against a step that is never searched for because one with tasks on every worker found no victims.
+    @Test
+    fun `should search again where the limit per worker leaves more workers`() {
+        val rooms = List(2) { room("w$it", free = 0) }
+        val victims = List(2) { Victim("r$it", 2, accelerators(8), listOf("w$it"), lost = 10_000) }
+        val spread = demand("spread", width = 1, each = 8, priority = 0).copy(maxPerWorker = 1)
+        val full = spread.copy(key = "full", used = mapOf("w0" to 1, "w1" to 1))
+        val plan = plan(rooms, listOf(full, spread), victims)
+        expectThat(plan.preemptions.map { it.demand.key }).isEqualTo(listOf("spread"))
+    }
+
     // Guards against stopping urgent work while routine work could make the room.
     @Test
     fun `should stop urgent work only where routine work does not make room`() {
