--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
@@ -55,5 +55,7 @@
     WORKER_SUSPECTED(8414),
     STEP_PREEMPTS(8415),
     STEP_ADVISED(8416),
+    SERVICE_USAGE(8417),
+    QUEUE_USAGE(8418),
     INTERNAL_ERROR(8901),
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -24,6 +24,7 @@
     private val planner = Planner(PlannerSettings(stopDurationMs = dependencies.settings.maxStopMs))
     private val urgentReserve = UrgentReserve(dependencies.settings.maxStopMs)
     private val clock = dependencies.clock
+    private val usageLog = UsageLog(clock, dependencies.log)
     private var hasWaiting = false
 
     /** Wall-clock time in ms at which the next scheduled occurrence is due. */
@@ -63,6 +64,7 @@
             )
             preemption.victims.forEach { victim -> victim.forEach { orders.stop(it, "preempted by ${step.job.id}") } }
         }
+        usageLog.record(fleet.sessions, demands.map { it.key }, plan)
     }
 
     /** Returns the steps of [job] that are due, whose predecessors are done, and that have tasks to start. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -15,6 +15,9 @@
     private val tasksByWorker = HashMap<String, Int>()
     private var withheldWorkers = 0
 
+    /** Free accelerators that [withhold] and [withholdFor] took from later demands, by service. */
+    val withheld = HashMap<String, Withheld>()
+
     fun <K> canUseReserved(demand: Demand<K>): Boolean =
         demand.reserved.groupingBy { it }.eachCount().all { (id, count) ->
             val worker = workersById[id] ?: return false
@@ -87,6 +90,7 @@
             if (left <= 0) return
             if (worker.free.accelerators <= 0) continue
             left -= worker.free.accelerators
+            withheldOf(service).forUrgent += worker.free.accelerators
             worker.free = Resources()
         }
     }
@@ -113,10 +117,13 @@
             if (left <= 0) return
             left -= slotsWhenEmpty(demand, worker)
             withheldWorkers++
+            withheldOf(demand.service).forWaiting += maxOf(0, worker.free.accelerators)
             worker.free = Resources()
         }
     }
 
+    private fun withheldOf(service: String): Withheld = withheld.getOrPut(service) { Withheld() }
+
     private fun <K> rackWithMostFreeSlots(
         demand: Demand<K>,
         workers: List<WorkerResources>,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -116,10 +116,17 @@
     val victims: List<V>,
 )
 
-/** Placements and preemptions that one scheduling pass decided on. */
+/** Free accelerators of a service that a pass withheld from demands which could have used them. */
+internal class Withheld(
+    var forUrgent: Int = 0,
+    var forWaiting: Int = 0,
+)
+
+/** Placements and preemptions that one scheduling pass decided on, and what it withheld by service. */
 internal data class Plan<K, V>(
     val placed: List<Placed<K>>,
     val preemptions: List<Preemption<K, V>>,
+    val withheld: Map<String, Withheld> = emptyMap(),
 )
 
 /**
@@ -169,7 +176,7 @@
             if (workers.isNotEmpty()) placed += Placed(demand, workers)
             if (workers.size < demand.width) pass.withholdFor(demand, demand.width - workers.size)
         }
-        return Plan(placed, preemptions)
+        return Plan(placed, preemptions, pass.withheld)
     }
 }
 
