Process the last answer of a leaving worker before ending its runs

Cause: when the directory reports that a worker has left, Fleet ended its runs and cancelled its session at once. An answer that listed the end was still under way and was dropped, while the worker counted the end as delivered. The class of fault is acting on one source of news while a fresher answer of another is outstanding.

Change: the answer to a renewal under way is processed before the runs end.

Test: WorkerFaultsTest, "should take note of ends that a leaving worker has listed in an answer under way": two runs before, one now.

Looked at elsewhere: a lapsed entry ends no runs; a new incarnation gets stops first; a renewal that is answered by another incarnation ends the session's runs after its own answer.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -78,12 +78,18 @@
     /** Ends all runs on a worker that has deregistered, which it does only when it runs nothing any more. */
     private fun onWorkerLeft(id: String) {
         dependencies.log.record(SchedulerEvent.WORKER_LOST, id, "reason" to "left the directory on its own")
-        entriesById[id]?.let { entry ->
-            entry.session.endIncarnation("the worker has left")
+        val entry = entriesById[id]
+        if (entry == null) {
+            runs.onWorkerSettled(id)
+            return
+        }
+        scope.launch {
+            entry.session.leave()
+            if (entry.session.isListed) return@launch
             entry.sessionJob.cancel()
-            entriesById.remove(id)
+            entriesById.remove(id, entry)
+            runs.onWorkerSettled(id)
         }
-        runs.onWorkerSettled(id)
     }
 
     private fun open(worker: ListedWorker) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import org.orioleferry.core.Clock
 import org.orioleferry.scheduler.DecisionLog
@@ -84,6 +86,8 @@
     /** Monotonic time before which no run is started on the worker. */
     var avoidUntilMs = 0L
 
+    /** Held from the sending of a renewal until its answer has been processed. */
+    private val renewal = Mutex()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
 
     /** Numbers of the last run end that was processed, and of the last that the worker knows to be acknowledged. */
@@ -138,7 +142,7 @@
                 withTimeoutOrNull(IDLE_CHECK_MS) { wakeUp.receive() }
                 continue
             }
-            renewOnce()
+            renewal.withLock { renewOnce() }
         }
     }
 
@@ -295,6 +299,14 @@
         runs.values.toList().forEach { listener.onGone(it, reason) }
     }
 
+    /**
+     * Ends all runs because the worker has deregistered. The answer to a renewal under way is awaited first: it may list
+     * ends, which the worker counts as delivered.
+     */
+    suspend fun leave() {
+        renewal.withLock { if (!isListed) endIncarnation("the worker has left") }
+    }
+
     private companion object {
         // Bounds the delay caused by a missed wake-up.
         const val IDLE_CHECK_MS = 5_000L
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
@@ -52,6 +52,27 @@
             expectThat(cluster.records.violations).isEmpty()
         }
 
+    // Guards against a second run of a task whose end is in the worker's last answer when the directory reports that the
+    // worker has left (TWICE on trouble-1 of the grown Omotnica, seed 101).
+    @Test
+    fun `should take note of ends that a leaving worker has listed in an answer under way`() =
+        runTest {
+            val cluster = SimulatedCluster(this) { _, _ -> Outcome(2_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            cluster.submit(one, "a", "routine", StepSpec(1, SimulatedCluster.ONE_ACCELERATOR, 2_000))
+            delay(1_000)
+            val run = cluster.records.runs.single()
+            cluster.workers.getValue(run.worker).isDraining = true
+            one.link.renewalAnswerMs = 1_000
+            while (run.endedMs == null) delay(10)
+            cluster.deregisteredWorkers += run.worker
+            cluster.departedWorkers += run.worker
+            delay(5_000)
+            expectThat(cluster.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(cluster.records.runsOf("a")).hasSize(1)
+        }
+
     // Guards against an urgent job that waits for a stalled worker, as in an incident on omotnica-split.
     @Test
     fun `should restart urgent tasks on other workers when a worker stalls`() =
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -72,6 +72,9 @@
         }.associateBy { it.id }
     val deregisteredWorkers = HashSet<String>()
 
+    /** Workers among [deregisteredWorkers] that have deleted their own entry. */
+    val departedWorkers = HashSet<String>()
+
     /** Answer of the simulated advice service. */
     var advice: (StepId, List<String>) -> AdviceResult = { _, _ -> AdviceResult.Unavailable("none") }
     var manifest =
@@ -131,6 +134,9 @@
         /** Whether answers to lease renewals are dropped. */
         var dropsRenewalAnswers = false
 
+        /** Time for which the answers to lease renewals are under way, ms. */
+        var renewalAnswerMs = 0L
+
         /** Called before each start; a test may delay or drop it. */
         var onStart: suspend (StartOrder) -> Unit = {}
 
@@ -143,6 +149,7 @@
         ): RenewalResult {
             val target = reach(worker) ?: return RenewalResult.Unreachable("cut off")
             val result = target.renewLeases(fence, lastSeen, deadlineMs, waitMs)
+            delay(renewalAnswerMs)
             return if (dropsRenewalAnswers || reach(worker) == null) RenewalResult.Unreachable("cut off") else result
         }
 
@@ -173,6 +180,8 @@
     private inner class Directory(
         private val instance: Instance,
     ) : WorkerDirectory {
+        private val reportedDepartures = HashSet<String>()
+
         override suspend fun refresh(): DirectoryResult {
             delay(5)
             if (instance.store.isUnavailable) return DirectoryResult.Unavailable("away")
@@ -181,6 +190,7 @@
                     .filter { it.id !in deregisteredWorkers }
                     .map { it.listed() }
                     .associateBy { it.id },
+                departedWorkers.filterTo(HashSet()) { reportedDepartures.add(it) },
             )
         }
     }
