Give each lower priority a minimum share of a service

Its tasks waited for up to 38 s.

Cause: in each pass work of a lower priority comes after urgent work, after the urgent reserve, after all work of the priorities above it and after the workers withheld for these, and nothing limits what they take. While work of priority 1 alone exceeds what urgent work leaves, the lowest priority gets nothing for as long as that lasts. The class of fault is strict priority without a bound on what the lowest rank loses.

Change: after urgent work and its reserve, each rank below the highest waiting one gets what it lacks of a tenth of the service's accelerators (minShare), before the other work is placed by rank. Gangs are not torn apart for it. Urgent work may preempt as before.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -6,9 +6,11 @@
 import org.orioleferry.scheduler.placement.Planner
 import org.orioleferry.scheduler.placement.PlannerSettings
 import org.orioleferry.scheduler.placement.QueuePosition
+import org.orioleferry.scheduler.placement.ServiceRank
 import org.orioleferry.scheduler.placement.Victim
 import org.orioleferry.scheduler.placement.WorkerResources
 import org.orioleferry.scheduler.placement.WorkerSpeedEstimator
+import org.orioleferry.scheduler.placement.countedAccelerators
 import org.orioleferry.scheduler.placement.queuePositionOf
 
 /** Runs [Planner] passes over the owner's state and executes the resulting plans. */
@@ -51,6 +53,7 @@
                 demands,
                 victims(ranks),
                 urgentReserve.reservedAccelerators(fleet.sessions, clock.monotonicMs()),
+                acceleratorsInUse(ranks),
             )
         plan.placed.forEach { start(it.demand.key, it.workers) }
         plan.preemptions.forEach { preemption ->
@@ -187,6 +190,14 @@
             )
         }
 
+    /** Returns the accelerators that runs hold, without those of lasting tasks, which never make room for others. */
+    private fun acceleratorsInUse(ranks: Ranks): Map<ServiceRank, Int> =
+        fleet.sessions
+            .flatMap { it.runs.values }
+            .filter { !it.task.step.spec.isLasting }
+            .groupingBy { ServiceRank(it.session.listed.service, ranks.of(it.task.step.job)) }
+            .fold(0) { sum, run -> sum + run.task.step.countedNeed.countedAccelerators }
+
     private fun victims(ranks: Ranks): List<Victim<List<Run>>> =
         fleet.sessions
             .flatMap { it.runs.values }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -18,6 +18,8 @@
     /** Free accelerators that [withhold] and [withholdFor] took from later demands, by service. */
     val withheld = HashMap<String, Withheld>()
 
+    fun acceleratorsOf(service: String): Int = totalAccelerators[service] ?: 0
+
     fun <K> canUseReserved(demand: Demand<K>): Boolean =
         demand.reserved.groupingBy { it }.eachCount().all { (id, count) ->
             val worker = workersById[id] ?: return false
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -135,15 +135,18 @@
  *
  * Urgent demands are placed first and may preempt. The `urgentReserve` accelerators of each service are then withheld
  * from other work for the next urgent demands, since a preemption costs the time of a stop and the work of the victims.
+ * Each lower rank then gets what it lacks of its minimum share, before the other demands are placed by rank.
  */
 internal class Planner(
     private val settings: PlannerSettings = PlannerSettings(),
 ) {
+    /** Plans one pass. [inUse] is the number of accelerators that runs of each rank hold, by service. */
     fun <K, V> plan(
         workerResources: List<WorkerResources>,
         demands: List<Demand<K>>,
         victims: List<Victim<V>>,
         urgentReserve: Map<String, Int> = emptyMap(),
+        inUse: Map<ServiceRank, Int> = emptyMap(),
     ): Plan<K, V> {
         val pass = PlacementPass(workerResources, settings)
         val preemption = PreemptionSearch(workerResources, victims, settings)
@@ -171,15 +174,61 @@
             }
         }
         urgentReserve.forEach { (service, accelerators) -> pass.withhold(service, accelerators) }
+        val minimumShares = placeMinimumShares(pass, nonUrgent, inUse)
         nonUrgent.forEach { demand ->
-            val workers = pass.place(demand)
+            val chosen = minimumShares[demand.key].orEmpty()
+            val rest = demand.withoutPlaced(chosen)
+            val workers = if (rest.width == 0) chosen else chosen + pass.place(rest)
             if (workers.isNotEmpty()) placed += Placed(demand, workers)
-            if (workers.size < demand.width) pass.withholdFor(demand, demand.width - workers.size)
+            if (workers.size < demand.width) pass.withholdFor(rest, demand.width - workers.size)
         }
         return Plan(placed, preemptions, pass.withheld)
     }
+
+    /**
+     * Places tasks of ranks that use less than their minimum share of a service, but no part of a gang. Returns their
+     * workers by the key of the demand.
+     */
+    private fun <K> placeMinimumShares(
+        pass: PlacementPass,
+        nonUrgent: List<Demand<K>>,
+        inUse: Map<ServiceRank, Int>,
+    ): Map<K, List<String>> {
+        val workersByKey = HashMap<K, List<String>>()
+        val unused = HashMap<ServiceRank, Int>()
+        val highestRank = nonUrgent.groupBy { it.service }.mapValues { (_, waiting) -> waiting.minOf { it.rank } }
+        nonUrgent.filter { it.rank > highestRank.getValue(it.service) }.forEach { demand ->
+            val rank = ServiceRank(demand.service, demand.rank)
+            val left =
+                unused.getOrPut(rank) {
+                    (pass.acceleratorsOf(demand.service) * settings.minShare).toInt() - (inUse[rank] ?: 0)
+                }
+            val width = minOf(demand.width, left / demand.need.countedAccelerators)
+            if (width <= 0 || (demand.isGang && width < demand.width)) return@forEach
+            val workers = pass.place(demand.copy(width = width))
+            workersByKey[demand.key] = workers
+            unused[rank] = left - workers.size * demand.need.countedAccelerators
+        }
+        return workersByKey
+    }
+
+    private fun <K> Demand<K>.withoutPlaced(workers: List<String>): Demand<K> {
+        if (workers.isEmpty()) return this
+        val tasks = HashMap(tasksByWorker)
+        workers.forEach { tasks.merge(it, 1, Int::plus) }
+        return copy(width = width - workers.size, tasksByWorker = tasks)
+    }
 }
 
+/** Accelerators as counted in the use of a service; a task without accelerators counts as one. */
+internal val Resources.countedAccelerators: Int get() = maxOf(1, accelerators)
+
+/** A rank of work on a service. */
+internal data class ServiceRank(
+    val service: String,
+    val rank: Int,
+)
+
 /**
  * Limits of a pass.
  *
@@ -196,6 +245,8 @@
  *   equals the duration of a stop.
  * @property maxVictimSearches searches for victims in one pass. Each search looks at all workers; demands beyond the
  *   limit are searched for in a later pass.
+ * @property minShare share of a service's accelerators that each rank below the highest non-urgent one may use before
+ *   that one is served, so that lasting load of one priority does not stop all work of the priorities below it.
  */
 internal data class PlannerSettings(
     val remoteWaitMs: Long = 1_500,
@@ -206,4 +257,5 @@
     val maxWithheldShare: Double = 0.25,
     val stopDurationMs: Long = 900,
     val maxVictimSearches: Int = 16,
+    val minShare: Double = 0.1,
 )
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -42,6 +42,9 @@
         estimateMs = 5_000,
     )
 
+    private fun use(vararg acceleratorsByRank: Pair<Int, Int>): Map<ServiceRank, Int> =
+        acceleratorsByRank.associate { (rank, accelerators) -> ServiceRank("pool", rank) to accelerators }
+
     private fun plan(
         workers: List<WorkerResources>,
         demands: List<Demand<String>>,
@@ -195,6 +198,40 @@
         expectThat(placed.single().workers).hasSize(24)
     }
 
+    // Guards against the starvation of the lowest priority: work of priority 1 took every accelerator that came free for
+    // 45 s on scale-1 of the grown Omotnica, while 3,000 tasks of priority 2 waited.
+    @Test
+    fun `should start work of a lower priority up to its minimum share`() {
+        val workers = { List(8) { worker("w$it", free = 2) } }
+        val higher = demand("higher", width = 64, each = 1, priority = 1)
+        val lower = demand("lower", width = 64, each = 1, priority = 2)
+
+        fun placedOf(inUse: Int): Map<String, Int> =
+            Planner(PlannerSettings(minShare = 0.125))
+                .plan(workers(), listOf(higher, lower), emptyList<Victim<String>>(), inUse = use(2 to inUse))
+                .placed
+                .associate { it.demand.key to it.workers.size }
+        expectThat(placedOf(inUse = 0)).isEqualTo(mapOf("lower" to 8, "higher" to 8))
+        expectThat(placedOf(inUse = 5)).isEqualTo(mapOf("lower" to 3, "higher" to 13))
+        expectThat(placedOf(inUse = 8)).isEqualTo(mapOf("higher" to 16))
+    }
+
+    // Guards against a minimum share that tears a gang apart, exceeds the limit per worker, or takes the accelerators
+    // that are kept for urgent work.
+    @Test
+    fun `should keep the rules of placement within a minimum share`() {
+        val workers = { List(8) { worker("w$it", free = 2) } }
+        val higher = demand("higher", width = 64, each = 1, priority = 1)
+        val gang = demand("gang", width = 9, each = 1, priority = 2, isGang = true)
+        expectThat(plan(workers(), listOf(higher, gang)).placed.map { it.demand.key }).isEqualTo(listOf("higher"))
+        val spread = demand("spread", width = 16, each = 1, priority = 2).copy(maxPerWorker = 1)
+        val placed = plan(workers(), listOf(spread, demand("first", width = 1, each = 1, priority = 1))).placed
+        val spreadWorkers = placed.filter { it.demand.key == "spread" }.flatMap { it.workers }
+        expectThat(spreadWorkers).hasSize(spreadWorkers.toSet().size)
+        val reserved = plan(workers(), listOf(higher, demand("lower", width = 8, each = 1)), reserve = 16).placed
+        expectThat(reserved).isEmpty()
+    }
+
     // Guards against stopping more work than the urgent step needs, and against stopping the work that has run longest.
     @Test
     fun `should preempt the cheapest victims that free enough resources`() {
