Bound what one job may ask for and set aside jobs that cannot be handled

Cause: nothing bounded a job. One step with a count of 1,000,000,000 was accepted, the owner expanded it into tasks and ran out of memory, and each next owner read the same row. The store keeps at most 65,536 bytes a row: a job of some hundred begun tasks outgrew it, and the transactions with the progress of up to 47 other jobs were refused with it, for good. An unreadable progress row counted as no progress. An exception for one job ended the term.

A job that is wider than its row holds begun tasks is accepted and begins as many as fit. A stored job beyond the limits that has not begun ends as failed. A transaction that the store rejects is written job by job; a job whose own progress is rejected ends as failed. A job with unreadable progress, or that makes the owner throw, is set aside for the term with JOB_SET_ASIDE and all others go on. After the feed's history was lost, jobs whose rows are gone leave the registry.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -22,6 +22,7 @@
  * @property maxManifestAgeMs time since the store last confirmed the manifest as the newest after which calls with an
  *   API key are refused.
  * @property statusRetentionMs time for which the state of an ended job stays readable.
+ * @property maxRowBytes largest value of a row that the store accepts.
  */
 public data class SchedulerSettings(
     val instance: String,
@@ -37,4 +38,5 @@
     val maxStopMs: Long = 900,
     val maxManifestAgeMs: Long = 2_900,
     val statusRetentionMs: Long = 120_000,
+    val maxRowBytes: Int = 65_536,
 )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
@@ -4,7 +4,9 @@
 import org.orioleferry.core.Clock
 import org.orioleferry.scheduler.DecisionLog
 import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.SchedulerSettings
 import org.orioleferry.scheduler.model.AcceptedJob
+import org.orioleferry.scheduler.model.JobLimits
 import org.orioleferry.scheduler.model.JobSpec
 import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.store.CommitResult
@@ -24,6 +26,11 @@
         val isRepeat: Boolean,
     ) : SubmitResult
 
+    /** The job is beyond the limits and will be refused again. It is not stored. */
+    public data class Invalid(
+        val reason: String,
+    ) : SubmitResult
+
     /** The job is not stored and this call will not store it later either. */
     public data class NotAccepted(
         val reason: String,
@@ -54,8 +61,11 @@
     private val store: RowStore,
     private val clock: Clock,
     private val log: DecisionLog,
+    settings: SchedulerSettings,
     private val isStoreUnavailable: () -> Boolean = { false },
 ) {
+    private val maxRowBytes = settings.maxRowBytes
+    private val limits = JobLimits(maxRowBytes)
     private val endedStates = EndedStateCache()
     private var lengthsByQueue: Map<String, Int> = emptyMap()
     private var lengthsCountedAtMs = Long.MIN_VALUE / 2
@@ -69,16 +79,20 @@
         spec: JobSpec,
         timeoutMs: Long,
     ): SubmitResult {
+        limits.violationOf(spec)?.let { return SubmitResult.Invalid(it) }
         if (isStoreUnavailable()) return SubmitResult.NotAccepted(STORE_UNAVAILABLE_REASON)
         val endMs = clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS)
         val key = Rows.job(spec.id)
         val value = Rows.encode(AcceptedJob(spec, clock.wallMs()))
+        val bytes = value.encodeToByteArray().size
+        if (bytes > maxRowBytes) return SubmitResult.Invalid("the job has $bytes bytes, more than $maxRowBytes")
         val write = RowTransaction(listOf(RowCondition(key, 0)), listOf(RowWrite(key, value)))
         var isUncertain = false
         while (true) {
             when (val result = store.commit(write)) {
                 is CommitResult.Committed -> return accepted(spec, "version" to result.version, isRepeat = false)
                 is CommitResult.Conflicted -> return onConflict(spec, result)
+                is CommitResult.Rejected -> return SubmitResult.Invalid(result.reason)
                 is CommitResult.Unavailable -> if (!isUncertain) return SubmitResult.NotAccepted(result.reason)
                 is CommitResult.Unknown -> isUncertain = true
             }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -147,7 +147,7 @@
             when (val result = store.commit(write.copy(writes = write.writes + fence))) {
                 is CommitResult.Committed -> result.version
                 is CommitResult.Conflicted -> versionOfOwnWrite(result, epoch)
-                is CommitResult.Unavailable, is CommitResult.Unknown -> {
+                is CommitResult.Unavailable, is CommitResult.Unknown, is CommitResult.Rejected -> {
                     delay(RETRY_MS)
                     null
                 }
@@ -217,7 +217,7 @@
                 when (result) {
                     is CommitResult.Committed -> result.version
                     is CommitResult.Conflicted -> versionOfOwnWrite(result, ownership.epoch) ?: return
-                    is CommitResult.Unavailable, is CommitResult.Unknown -> null
+                    is CommitResult.Unavailable, is CommitResult.Unknown, is CommitResult.Rejected -> null
                 }
             if (version == null) {
                 log.record(
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -1,6 +1,7 @@
 package org.orioleferry.scheduler.owner
 
 import org.orioleferry.scheduler.model.AcceptedJob
+import org.orioleferry.scheduler.model.JobLimits
 import org.orioleferry.scheduler.model.JobProgress
 import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.model.Resources
@@ -128,6 +129,7 @@
     var acceptedVersion: Long,
     stored: JobProgress?,
     var progressVersion: Long,
+    limits: JobLimits,
 ) {
     val id: String get() = accepted.spec.id
     var state: JobState = stored?.state ?: JobState.QUEUED
@@ -142,7 +144,14 @@
     var hasStarted: Boolean = state != JobState.QUEUED
 
     /** Accelerators needed by the step that needs most of them. */
-    val maxStepAccelerators: Int = accepted.spec.steps.maxOf { it.count * it.need.accelerators }
+    val maxStepAccelerators: Int = accepted.spec.steps.maxOfOrNull { it.count * it.need.accelerators } ?: 0
+
+    /** Most occurrences that may be open at a time. */
+    val maxOpenOccurrences: Int = limits.openOccurrencesOf(accepted.spec)
+
+    /** Most tasks that may be begun and not done at a time. */
+    private val maxBegunTasks: Int = limits.begunTasksOf(accepted.spec)
+    private val taskCount: Long = accepted.spec.steps.sumOf { it.count.toLong() }
 
     private val stepsByOccurrence = sortedMapOf<Int, List<StepRun>>()
     private val finishedOccurrences = HashSet<Int>()
@@ -172,6 +181,17 @@
 
     fun task(id: TaskId): Task? = occurrence(id.occurrence)?.getOrNull(id.step)?.tasks?.getOrNull(id.index)
 
+    /**
+     * Returns those of [waiting], tasks of one step in order, that may be started without exceeding the number of begun
+     * tasks whose progress fits into the job's row.
+     */
+    fun startable(waiting: List<Task>): List<Task> {
+        if (taskCount * maxOpenOccurrences <= maxBegunTasks) return waiting
+        val begun = openSteps.sumOf { step -> step.tasks.count { it.lastAttempt > 0 && !it.isDone } }
+        var left = maxBegunTasks - begun
+        return waiting.filter { it.lastAttempt > 0 || left-- > 0 }
+    }
+
     fun steps(number: Int): List<StepRun> = stepsByOccurrence[number].orEmpty()
 
     /** Marks occurrences whose steps are all done as finished. Returns whether all occurrences are finished. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
@@ -1,6 +1,7 @@
 package org.orioleferry.scheduler.owner
 
 import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.model.JobLimits
 import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.store.CommitResult
 import org.orioleferry.scheduler.store.RowCondition
@@ -15,6 +16,10 @@
     private val ownership: Ownership,
 ) {
     private val jobs = LinkedHashMap<String, Job>()
+    private val limits = JobLimits(dependencies.settings.maxRowBytes)
+
+    /** Ids of jobs that this owner neither starts nor stops, because it cannot read or handle them. */
+    private val setAsideIds = HashSet<String>()
 
     /** Jobs that have not ended, in the order in which their acceptance rows were read. */
     val activeJobs: Collection<Job> get() = activeJobsById.values
@@ -27,25 +32,27 @@
         progress: List<StoredRow>,
     ) {
         val progressById = progress.associateBy { it.key.key }
-        accepted.forEach { row -> add(row, progressById[row.key.key]) }
+        accepted.forEach { row -> guarded(row.key.key) { add(row, progressById[row.key.key]) } }
     }
 
     private fun add(
         row: StoredRow,
         progress: StoredRow?,
     ): Job? {
+        if (row.key.key in setAsideIds) return null
         val accepted = Rows.decodeJob(row.value)
         if (accepted == null) {
-            dependencies.log.record(
-                SchedulerEvent.JOB_UNREADABLE,
-                row.key.key,
-                "table" to row.key.table,
-                "version" to row.version,
-            )
+            recordUnreadable(row)
             return null
         }
         val stored = progress?.let { Rows.decodeProgress(it.value) }
-        val job = Job(accepted, row.version, stored, progress?.version ?: 0)
+        if (progress != null && stored == null) {
+            // Without its progress, tasks that are done or running would be started again.
+            recordUnreadable(progress)
+            setAside(row.key.key, "unreadable progress")
+            return null
+        }
+        val job = Job(accepted, row.version, stored, progress?.version ?: 0, limits)
         jobs[job.id] = job
         if (job.state.isEnded) return job
         activeJobsById[job.id] = job
@@ -57,13 +64,52 @@
             "state" to job.state,
         )
         if (accepted.isCancelled) end(job, JobState.CANCELLED, "cancelled before the term")
+        // A job that has begun was accepted under other limits and goes on.
+        val violation = if (stored == null) limits.violationOf(accepted.spec) else null
+        if (violation != null) end(job, JobState.FAILED, violation)
         return job
     }
 
+    private fun recordUnreadable(row: StoredRow) =
+        dependencies.log.record(
+            SchedulerEvent.JOB_UNREADABLE,
+            row.key.key,
+            "table" to row.key.table,
+            "version" to row.version,
+        )
+
+    /** Whether the job [id] is left alone because of [setAside]. */
+    fun isSetAside(id: String): Boolean = id in setAsideIds
+
+    /**
+     * Leaves the job [id] alone for the rest of the term, so that the others go on. Its state stays as it is stored, its
+     * runs end by themselves and their ends are recorded.
+     */
+    fun setAside(
+        id: String,
+        reason: String,
+    ) {
+        if (!setAsideIds.add(id)) return
+        activeJobsById.remove(id)
+        dependencies.log.record(SchedulerEvent.JOB_SET_ASIDE, id, "reason" to reason)
+    }
+
+    /** Runs [action] on behalf of the job [id]; sets the job aside and returns null if it throws. */
+    fun <T> guarded(
+        id: String,
+        action: () -> T,
+    ): T? =
+        try {
+            action()
+        } catch (e: Exception) {
+            setAside(id, e.stackTraceToString())
+            null
+        }
+
     /** Applies a row from the feed. Returns the job if the row adds or cancels it. */
     fun apply(row: StoredRow): Job? {
         if (row.isDeleted) {
-            jobs.remove(row.key.key)
+            remove(row.key.key)
             return null
         }
         val job = jobs[row.key.key] ?: return add(row, null)
@@ -74,6 +120,20 @@
         return job.takeIf { accepted.isCancelled && !job.state.isEnded }
     }
 
+    /** Removes the jobs whose rows are not among [rows], the whole table as of the store version [version] or later. */
+    fun removeMissing(
+        rows: List<StoredRow>,
+        version: Long,
+    ) {
+        val ids = rows.mapTo(HashSet()) { it.key.key }
+        jobs.values.filter { it.acceptedVersion <= version && it.id !in ids }.forEach { remove(it.id) }
+    }
+
+    private fun remove(id: String) {
+        jobs.remove(id)
+        activeJobsById.remove(id)
+    }
+
     /** Returns the tasks of which an earlier owner's run may still exist on a worker. */
     fun unresolvedTasks(): List<Task> =
         activeJobs
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -14,6 +14,7 @@
 import org.orioleferry.scheduler.store.RowStore
 import org.orioleferry.scheduler.store.Rows
 import org.orioleferry.scheduler.store.ScanResult
+import org.orioleferry.scheduler.store.StoredRow
 import org.orioleferry.scheduler.store.scanAll
 import org.orioleferry.scheduler.workers.AdviceService
 import org.orioleferry.scheduler.workers.WorkerDirectory
@@ -71,6 +72,7 @@
                     runs::stopIncompleteGang,
                 )
             writer.onStored = { fleet.wakeSessions() }
+            writer.onRejected = runs::onRejected
             val jobsVersion = load() ?: return@coroutineScope
             launch { writer.run() }
             launch { fleet.follow { planSignal.trySend(Unit) } }
@@ -146,7 +148,7 @@
             when (val feed = store.feed(Rows.JOBS, seenVersion, FEED_WAIT_MS)) {
                 is FeedResult.Changes -> {
                     seenVersion = feed.version
-                    feed.rows.forEach { row -> jobRegistry.apply(row)?.let { runs.onJobChanged(it) } }
+                    feed.rows.forEach { applyJobRow(it, runs) }
                     if (feed.rows.isNotEmpty()) planSignal.trySend(Unit)
                 }
                 FeedResult.HistoryLost -> seenVersion = rereadJobs(runs) ?: seenVersion
@@ -162,9 +164,19 @@
             delay(RETRY_MS)
             return null
         }
-        completed.flatMap { it.rows }.forEach { row -> jobRegistry.apply(row)?.let { runs.onJobChanged(it) } }
+        val rows = completed.flatMap { it.rows }
+        val version = completed.minOf { it.version }
+        rows.forEach { applyJobRow(it, runs) }
+        jobRegistry.removeMissing(rows, version)
         planSignal.trySend(Unit)
-        return completed.minOf { it.version }
+        return version
+    }
+
+    private fun applyJobRow(
+        row: StoredRow,
+        runs: RunControl,
+    ) {
+        jobRegistry.guarded(row.key.key) { jobRegistry.apply(row)?.let { runs.onJobChanged(it) } }
     }
 
     private suspend fun planLoop(placement: Placement) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -42,9 +42,11 @@
     fun runPass() {
         val manifest = dependencies.manifest() ?: return
         nextDueMs = Long.MAX_VALUE
-        val steps = jobRegistry.activeJobs.flatMap { dueSteps(it) }
         val ranks = Ranks(manifest, jobRegistry.activeJobs)
-        val demands = steps.mapNotNull { demandOf(it, manifest, ranks) }
+        val demands =
+            jobRegistry.activeJobs.toList().flatMap { job ->
+                jobRegistry.guarded(job.id) { dueSteps(job).mapNotNull { demandOf(it, manifest, ranks) } }.orEmpty()
+            }
         hasWaiting = demands.isNotEmpty()
         if (demands.isEmpty()) return
         val plan =
@@ -92,7 +94,7 @@
         val now = clock.wallMs()
         val open = (0 until schedule.occurrences).filterNot { job.isFinished(it) }
         open.firstOrNull { schedule.dueMs(it) > now }?.let { nextDueMs = minOf(nextDueMs, schedule.dueMs(it)) }
-        return open.filter { schedule.dueMs(it) <= now }
+        return open.filter { schedule.dueMs(it) <= now }.take(job.maxOpenOccurrences)
     }
 
     private fun Task.isWaiting(): Boolean =
@@ -105,7 +107,8 @@
     ): Demand<StepRun>? {
         val now = clock.monotonicMs()
         if (step.readySinceMs < 0) step.readySinceMs = now
-        val waiting = step.tasks.filter { it.isWaiting() }
+        val waiting = step.job.startable(step.tasks.filter { it.isWaiting() })
+        if (waiting.isEmpty()) return null
         val spec = step.spec
         // A gang is restarted only after all runs of its earlier attempt have ended.
         if (spec.isGang && waiting.size < spec.count) {
@@ -165,13 +168,15 @@
     private fun waitingShareOf(steps: List<StepRun>): Double {
         val waiting = steps.sumOf { step -> workOf(step) * step.tasks.count { !it.isDone && it.run == null } }
         val total = steps.sumOf { workOf(it) * it.spec.count }
-        return waiting.toDouble() / total
+        return waiting / total
     }
 
     /** Returns the estimated work of one task of [step] in accelerator-equivalent ms, at least 1. */
-    private fun workOf(step: StepRun): Long =
-        maxOf(1, step.spec.estimateMs) *
-            (step.spec.need.cpuMillis + step.spec.need.accelerators * CORES_PER_ACCELERATOR * MILLIS_PER_CORE + 1)
+    private fun workOf(step: StepRun): Double {
+        val need = step.spec.need
+        return maxOf(1, step.spec.estimateMs).toDouble() *
+            (need.cpuMillis + need.accelerators.toDouble() * CORES_PER_ACCELERATOR * MILLIS_PER_CORE + 1)
+    }
 
     private fun workerResources(): List<WorkerResources> =
         fleet.sessions.filter { fleet.isUsable(it) }.map { session ->
@@ -242,7 +247,7 @@
     ) {
         if (!ownership.canDecide) return
         step.reserved = emptyList()
-        val waiting = step.tasks.filter { it.isWaiting() }
+        val waiting = step.job.startable(step.tasks.filter { it.isWaiting() })
         val isUrgent = dependencies.manifest()?.queue(step.job.accepted.spec.queue)?.priority == 0
         val racks = workers.mapNotNullTo(HashSet()) { fleet[it]?.listed?.rack }
         val isAcrossRacks = step.spec.sameRack && racks.size > 1
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWriter.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressWriter.kt
@@ -33,6 +33,9 @@
     private var sequence = 0L
     private var earliestSequenceOfGroup: Long? = null
 
+    /** Number of jobs that are written one by one, because the store has rejected a group of them. */
+    private var singleWrites = 0
+
     private val stored = MutableStateFlow(0L)
 
     /** Sequence number up to which all changes are stored. */
@@ -41,6 +44,9 @@
     /** Called after each stored group. */
     var onStored: () -> Unit = {}
 
+    /** Called when the store will never accept the progress of a job; it ends the job. */
+    var onRejected: (job: Job, reason: String) -> Unit = { _, _ -> }
+
     /** Marks [job] as changed; the change is stored once [storedSequence] reaches the returned sequence number. */
     fun markChanged(job: Job): Long {
         sequence++
@@ -67,18 +73,18 @@
     }
 
     private suspend fun writeGroup() {
-        val group = unstoredSince.keys.take(MAX_GROUP_JOBS)
+        val writes = nextWrites()
+        val group = writes.keys.toList()
         val upTo = sequence
         earliestSequenceOfGroup = unstoredSince.getValue(group.first())
         group.forEach { unstoredSince.remove(it) }
-        when (val result = store.commit(transactionOf(group))) {
+        when (val result = store.commit(transactionOf(writes))) {
             is CommitResult.Committed -> {
                 group.forEach { it.progressVersion = result.version }
-                earliestSequenceOfGroup = null
-                stored.value = unstoredSince.values.firstOrNull()?.let { it - 1 } ?: upTo
-                onStored()
+                recordStored(upTo)
             }
             is CommitResult.Conflicted -> resolveConflict(group, result)
+            is CommitResult.Rejected -> onGroupRejected(group, result.reason, upTo)
             is CommitResult.Unavailable, is CommitResult.Unknown -> {
                 log.record(SchedulerEvent.PROGRESS_FAILED, group.first().id, "jobs" to group.size, "result" to result)
                 requeue(group)
@@ -87,14 +93,52 @@
         }
     }
 
-    private fun transactionOf(group: List<Job>): RowTransaction =
+    private fun recordStored(upTo: Long) {
+        earliestSequenceOfGroup = null
+        stored.value = unstoredSince.values.firstOrNull()?.let { it - 1 } ?: upTo
+        onStored()
+    }
+
+    /** Returns the encoded progress of the next jobs, within the limits of a transaction. */
+    private fun nextWrites(): Map<Job, String> {
+        val limit = if (singleWrites > 0) 1 else MAX_GROUP_JOBS
+        if (singleWrites > 0) singleWrites--
+        val writes = LinkedHashMap<Job, String>()
+        var chars = 0
+        for (job in unstoredSince.keys) {
+            val value = Rows.encode(job.toProgress())
+            chars += value.length
+            if (writes.size == limit || (writes.isNotEmpty() && chars > MAX_GROUP_CHARS)) break
+            writes[job] = value
+        }
+        return writes
+    }
+
+    private fun transactionOf(valuesByJob: Map<Job, String>): RowTransaction =
         RowTransaction(
             conditions =
                 listOf(RowCondition(Rows.fence, ownership.fenceVersion)) +
-                    group.map { RowCondition(Rows.progress(it.id), it.progressVersion) },
-            writes = group.map { RowWrite(Rows.progress(it.id), Rows.encode(it.toProgress())) },
+                    valuesByJob.keys.map { RowCondition(Rows.progress(it.id), it.progressVersion) },
+            writes = valuesByJob.map { (job, value) -> RowWrite(Rows.progress(job.id), value) },
         )
 
+    /** Finds the job at fault by writing the jobs of a rejected group one by one. */
+    private fun onGroupRejected(
+        group: List<Job>,
+        reason: String,
+        upTo: Long,
+    ) {
+        log.record(SchedulerEvent.PROGRESS_REJECTED, group.first().id, "jobs" to group.size, "reason" to reason)
+        if (group.size > 1) {
+            singleWrites = group.size
+            requeue(group)
+            return
+        }
+        val job = group.single()
+        if (!job.state.isEnded) onRejected(job, reason)
+        recordStored(upTo)
+    }
+
     private fun resolveConflict(
         group: List<Job>,
         conflict: CommitResult.Conflicted,
@@ -134,6 +178,9 @@
         // The store accepts 100 entries per call, and conditions and writes both count: n jobs need n + 1 conditions
         // and n writes.
         const val MAX_GROUP_JOBS = 48
+
+        // A call has at most 1 MB; the encoding of a value adds a third.
+        const val MAX_GROUP_CHARS = 600_000
         const val RETRY_MS = 100L
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -39,9 +39,16 @@
             if (end.ending == RunEnding.DONE) progressMonitor.recordCompletion(run)
             orders.detach(run)
         }
+        replan()
+        return jobRegistry.guarded(end.id.task.job) { applyEnd(session, end) } ?: writer.latestSequence
+    }
+
+    private fun applyEnd(
+        session: WorkerSession,
+        end: RunEndRecord,
+    ): Long {
         val job = jobRegistry[end.id.task.job]
         val task = job?.task(end.id.task)
-        replan()
         if (job == null || task == null || job.state.isEnded) return writer.latestSequence
         task.lastAttempt = maxOf(task.lastAttempt, end.id.attempt)
         if (end.checkpoint.isNotEmpty()) saveCheckpoint(task, end.checkpoint)
@@ -124,6 +131,7 @@
         session: WorkerSession,
         present: PresentRun,
     ) {
+        if (jobRegistry.isSetAside(present.id.task.job)) return
         val job = jobRegistry[present.id.task.job]
         val task = job?.task(present.id.task)
         if (job == null || task == null || !isAdoptable(job, task, session, present.id)) {
@@ -218,6 +226,15 @@
         replan()
     }
 
+    /** Ends [job] and stops its runs, because its progress cannot be stored. */
+    fun onRejected(
+        job: Job,
+        reason: String,
+    ) {
+        jobRegistry.end(job, JobState.FAILED, "its progress cannot be stored: $reason")
+        stopAll(job, "the job has failed")
+    }
+
     /** Ends [job] and stops its runs if it was cancelled. */
     fun onJobChanged(job: Job) {
         if (!job.accepted.isCancelled || job.state.isEnded) return
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/RowStore.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/RowStore.kt
@@ -91,6 +91,11 @@
         val reason: String,
     ) : CommitResult
 
+    /** Nothing changed, and the same transaction will be rejected again, for instance because a value is too large. */
+    public data class Rejected(
+        val reason: String,
+    ) : CommitResult
+
     /** No answer arrived. The transaction may have taken effect, or may do so later if its conditions still hold. */
     public data class Unknown(
         val reason: String,
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -96,9 +96,9 @@
     ) {
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
-        val jobApi = JobApi(store, clock, NO_LOG) { health.isUnavailable }
-        val link = Link()
         private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs)
+        val jobApi = JobApi(store, clock, NO_LOG, settings) { health.isUnavailable }
+        val link = Link()
         private val dependencies =
             OwnerDependencies(
                 store,
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
@@ -9,6 +9,7 @@
 import org.orioleferry.scheduler.store.RowKey
 import org.orioleferry.scheduler.store.RowStore
 import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.RowWrite
 import org.orioleferry.scheduler.store.ScanResult
 import org.orioleferry.scheduler.store.StoreHealth
 import org.orioleferry.scheduler.store.StoredRow
@@ -29,6 +30,12 @@
     /** Whether conditions of transactions are ignored, to show which faults they prevent. */
     var ignoresConditions = false
 
+    /** Largest value of a row; transactions with a larger one are rejected. */
+    var maxRowBytes = Int.MAX_VALUE
+
+    /** Whether a transaction with this write is rejected. */
+    var rejects: (RowWrite) -> Boolean = { false }
+
     fun scan(
         table: String,
         part: String,
@@ -63,6 +70,7 @@
     }
 
     fun apply(transaction: RowTransaction): CommitResult {
+        if (transaction.writes.any { it.value.length > maxRowBytes || rejects(it) }) return REJECTED
         val present = transaction.conditions.map { it to rows[name(it.key)] }
         if (!ignoresConditions && present.any { (condition, row) -> (row?.version ?: 0) != condition.version }) {
             return CommitResult.Conflicted(present.mapNotNull { it.second })
@@ -83,6 +91,10 @@
     }
 
     private fun name(key: RowKey): String = "${key.table}|${key.part}|${key.key}"
+
+    private companion object {
+        val REJECTED = CommitResult.Rejected("a value is too large or not allowed")
+    }
 }
 
 /** Connection of one instance to the store, with its own faults. */
