--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -167,7 +167,7 @@
         return row.version.takeIf { value.holder == settings.instance && value.epoch == epoch }
     }
 
-    /** Runs [lead] until the ownership ends. Returns false if [lead] could not begin and returned early. */
+    /** Runs [lead] until the ownership ends. Returns false if [lead] threw, or could not begin and returned early. */
     private suspend fun hold(ownership: Ownership): Boolean {
         current = ownership
         var hasLed = true
@@ -185,7 +185,9 @@
             }
         } catch (e: CancellationException) {
             throw e
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            // Another instance may not have the fault; this one would acquire the lease again at once.
+            hasLed = false
             log.record(
                 SchedulerEvent.INTERNAL_ERROR,
                 settings.instance,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -3,6 +3,7 @@
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.placement.Demand
+import org.orioleferry.scheduler.placement.Plan
 import org.orioleferry.scheduler.placement.Planner
 import org.orioleferry.scheduler.placement.PlannerSettings
 import org.orioleferry.scheduler.placement.QueuePosition
@@ -49,14 +50,7 @@
             }
         hasWaiting = demands.isNotEmpty()
         if (demands.isEmpty()) return
-        val plan =
-            planner.plan(
-                workerResources(),
-                demands,
-                victims(ranks),
-                urgentReserve.reservedAccelerators(fleet.sessions, clock.monotonicMs()),
-                acceleratorsInUse(ranks),
-            )
+        val plan = planOf(demands, ranks) ?: return
         plan.placed.forEach { start(it.demand.key, it.workers) }
         plan.preemptions.forEach { preemption ->
             val step = preemption.demand.key
@@ -73,6 +67,28 @@
         usageLog.record(fleet.sessions, demands.map { it.key }, plan)
     }
 
+    /** Returns the plan for [demands]. If the planner throws, sets aside the jobs for which it does and returns null. */
+    private fun planOf(
+        demands: List<Demand<StepRun>>,
+        ranks: Ranks,
+    ): Plan<StepRun, List<Run>>? {
+        val workers = workerResources()
+        val victims = victims(ranks)
+        val reserved = urgentReserve.reservedAccelerators(fleet.sessions, clock.monotonicMs())
+        val inUse = acceleratorsInUse(ranks)
+        return try {
+            planner.plan(workers, demands, victims, reserved, inUse)
+        } catch (e: RuntimeException) {
+            dependencies.log.record(SchedulerEvent.INTERNAL_ERROR, "planner", "error" to e.stackTraceToString())
+            demands.forEach { demand ->
+                jobRegistry.guarded(demand.key.job.id) {
+                    planner.plan(workers, listOf(demand), victims, reserved, inUse)
+                }
+            }
+            null
+        }
+    }
+
     /** Returns the steps of [job] that are due, whose predecessors are done, and that have tasks to start. */
     private fun dueSteps(job: Job): List<StepRun> {
         if (!job.isLive) return emptyList()
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -10,6 +10,7 @@
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.SchedulerSettings
 import org.orioleferry.scheduler.model.Resources
+import org.orioleferry.scheduler.supervise
 import org.orioleferry.scheduler.workers.ListedWorker
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RenewalResult
@@ -136,7 +137,9 @@
     }
 
     /** Calls the worker until cancelled. */
-    suspend fun run() {
+    suspend fun run(): Unit = supervise(log, id, "worker session") { renewWhileNeeded() }
+
+    private suspend fun renewWhileNeeded() {
         while (true) {
             if (isIdle() || !ownership.canExtendRunLeases) {
                 withTimeoutOrNull(IDLE_CHECK_MS) { wakeUp.receive() }
