Judge stalled runs by their worker's clock and confirm them by a second listing

Cause: a run counted as stalled when its progress had not grown for 1.2 s or 3% of its estimate on the owner's clock. An owner that was suspended while an answer waited, or a worker that was suspended and went on, made healthy runs look stalled, and those below 20% were stopped and started elsewhere. The call that found a silent worker back asked it to hold its answer for 2 s and extended no lease meanwhile, so work on a worker that was silent for 2.5 s lapsed.

Change: time without progress is added up between listings on the worker's clock; a gap longer than the poll time and 1 s starts it anew. The listing that first exceeds the limit makes the run suspected, the next one, 0.3 s later, confirms it. Calls to a worker that did not answer the one before do not wait.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -48,6 +48,12 @@
     /** Monotonic time at which [percent] was last seen to grow. */
     var progressedAtMs: Long = startedAtMs
 
+    /** Time on the worker's clock, in ms, over which consecutive listings showed no progress. */
+    var unchangedMs = 0L
+
+    /** Value of [unchangedMs] at which the run was suspected to stand still, or -1; a later listing confirms it. */
+    var suspectedAtMs = -1L
+
     /** Monotonic time at which the checkpoint was last seen to change. */
     var checkpointedAtMs: Long = startedAtMs
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
@@ -36,13 +36,19 @@
         speeds.recordProgress(run.session.id, run.queue, run.estimateMs, run.percent / PERCENT, now - beganMs, now)
     }
 
+    /**
+     * Whether [run] stands still, by the clock of its worker. The listing that first shows it only makes the run suspected:
+     * a worker that was suspended lists the progress from before, and the next listing shows that the run goes on.
+     */
     private fun isStalled(run: Run): Boolean {
         val spec = run.task.step.spec
         if (run.state != RunState.RUNNING || spec.isLasting || run.confirmedAtMs == null) return false
         // A finished member of a gang waits for the other members.
         if (run.percent >= PERCENT) return false
         val stallTimeoutMs = maxOf(MIN_STALL_TIMEOUT_MS, (spec.estimateMs * STALL_TIMEOUT_ESTIMATE_SHARE).toLong())
-        return clock.monotonicMs() - run.progressedAtMs > stallTimeoutMs
+        if (run.unchangedMs <= stallTimeoutMs) return false
+        if (run.suspectedAtMs < 0) run.suspectedAtMs = run.unchangedMs
+        return run.unchangedMs - run.suspectedAtMs >= stallTimeoutMs / CONFIRMATION_DIVISOR
     }
 
     /** Restarts the task on another worker if little work is lost; a stalled worker takes seconds to recover. */
@@ -76,6 +82,9 @@
         const val STALL_TIMEOUT_ESTIMATE_SHARE = 0.03
         const val CHEAP_RESTART_PERCENT = 20
 
+        // A run that goes on shows at least one percent of progress in this part of the stall timeout.
+        const val CONFIRMATION_DIVISOR = 4
+
         // Limits the restarts per task that false stall detections may cause.
         const val MAX_STALL_RESTARTS_PER_TASK = 2
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -159,15 +159,21 @@
 
     /**
      * Returns the longest time in ms that the worker may hold the answer to a renewal; shorter for recent urgent runs,
-     * where a restart elsewhere still helps.
+     * where a restart elsewhere still helps, and for runs that seem to stand still.
      */
     private fun maxWaitMs(nowMs: Long): Int =
-        if (runs.values.any { it.isUrgent && nowMs - it.startedAtMs < EARLY_MS }) SHORT_WAIT_MS else settings.pollWaitMs
+        when {
+            runs.values.any { it.suspectedAtMs >= 0 } -> CONFIRMATION_WAIT_MS
+            runs.values.any { it.isUrgent && nowMs - it.startedAtMs < EARLY_MS } -> SHORT_WAIT_MS
+            else -> settings.pollWaitMs
+        }
 
     private suspend fun renewOnce() {
         val storedEnd = lastStoredEnd()
         val hasUnstored = pendingEnds.any { it.first > storedEnd }
-        val waitMs = if (isClaimed && runs.isNotEmpty() && !hasUnstored) maxWaitMs(clock.monotonicMs()) else 0
+        // A worker that answers again is not asked to hold the answer: the leases are extended by the call after it.
+        val isWaiting = isClaimed && runs.isNotEmpty() && !hasUnstored && unreachableSinceMs < 0
+        val waitMs = if (isWaiting) maxWaitMs(clock.monotonicMs()) else 0
         val sentAtMs = clock.monotonicMs()
         val deadlineMs = if (isClaimed && runs.isNotEmpty() && canExtendLeases(sentAtMs)) nextDeadlineMs() else null
         val incarnation = listed.incarnationMs
@@ -204,6 +210,7 @@
             return
         }
         if (unreachableSinceMs >= 0) unreachableSinceMs = -1
+        val sinceListedMs = renewed.clockMs - workerClockMs
         workerClockMs = renewed.clockMs
         workerClockReadAtMs = clock.monotonicMs()
         acknowledgedEndNumber = maxOf(acknowledgedEndNumber, storedEnd)
@@ -217,7 +224,7 @@
             listener.onGone(it, "not listed by the worker")
         }
         present.values.forEach { entry ->
-            runs[entry.id]?.let { updateRun(it, entry) } ?: listener.onUnknownRun(this, entry)
+            runs[entry.id]?.let { updateRun(it, entry, sinceListedMs) } ?: listener.onUnknownRun(this, entry)
         }
         if (!isClaimed) {
             isClaimed = true
@@ -237,7 +244,15 @@
     private fun updateRun(
         run: Run,
         entry: PresentRun,
+        sinceListedMs: Long,
     ) {
+        // After a longer gap the worker, its path or this process stood still, and so may have the run.
+        if (entry.percent > run.percent || sinceListedMs > settings.pollWaitMs + MAX_LISTING_DELAY_MS) {
+            run.unchangedMs = 0
+            run.suspectedAtMs = -1
+        } else {
+            run.unchangedMs += sinceListedMs
+        }
         val now = clock.monotonicMs()
         if (run.firstPercentAtMs == run.startedAtMs) {
             run.firstPercentAtMs = now
@@ -318,6 +333,12 @@
         // Age up to which an urgent run counts as recent.
         const val EARLY_MS = 2_500
         const val SHORT_WAIT_MS = 700
+
+        // A run of 30 s makes one percent of progress in this time.
+        const val CONFIRMATION_WAIT_MS = 300
+
+        // Listings that follow each other within the poll time and this delay show whether a run makes progress.
+        const val MAX_LISTING_DELAY_MS = 1_000
         const val QUICK_RETRY_MS = 3_000L
         const val SLOW_RETRY_MS = 500L
 
