Take an epoch above all earlier ones when the lease row cannot be read

Cause: an unreadable lease row counted as epoch 0, so the next owner began at epoch 1. Workers that had seen a higher token refuse it, others take orders of a former owner beside it.

Change: the version of the row stands in for its epoch. It is never below, since each epoch took a transaction.

Test: ElectionTest "should acquire an unreadable lease with a higher epoch than any before".

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -138,7 +138,9 @@
         Math.floorMod((settings.instance + epoch).hashCode(), STAGGER_SLOTS) * STAGGER_STEP_MS
 
     private suspend fun acquire(row: StoredRow?): Ownership? {
-        val epoch = (row?.let { decode(it) }?.epoch ?: 0) + 1
+        // The version of an unreadable row is at least as high as every epoch before it, since each took a transaction.
+        val earlierEpoch = row?.let { decode(it)?.epoch ?: it.version } ?: 0
+        val epoch = earlierEpoch + 1
         val sentAt = clock.now()
         val value = LeaseValue(settings.instance, epoch, 0, settings.leaseTtlMs)
         val write = leaseWrite(row?.version ?: 0, value)
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/ElectionTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/ElectionTest.kt
@@ -6,9 +6,14 @@
 import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.simulation.SimulatedCluster
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.RowWrite
+import org.orioleferry.scheduler.store.Rows
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
@@ -30,6 +35,25 @@
             expectThat(cluster.stateOf(other, "a")).isEqualTo(JobState.COMPLETED)
         }
 
+    // Guards against a fencing token that starts again at 1 because the lease row cannot be read: the workers refuse it, or
+    // accept orders of a former owner beside those of the new one.
+    @Test
+    fun `should acquire an unreadable lease with a higher epoch than any before`() =
+        runTest {
+            val cluster = SimulatedCluster(this)
+            repeat(3) { term ->
+                val instance = cluster.Instance("term-$term").also { it.start() }
+                delay(4_000)
+                instance.kill()
+            }
+            cluster.rows.apply(RowTransaction(writes = listOf(RowWrite(Rows.lease, "{damaged"))))
+            val next = cluster.Instance("next").also { it.start() }
+            cluster.submit(next, "a", "urgent", StepSpec(1, SimulatedCluster.ONE_ACCELERATOR))
+            delay(4_000)
+            expectThat(next.election.current?.epoch).isNotNull().isGreaterThan(3)
+            expectThat(cluster.stateOf(next, "a")).isEqualTo(JobState.COMPLETED)
+        }
+
     // Guards against a weak instance that wins the first election because all instances start at the same time.
     @Test
     fun `should elect an instance with more bandwidth and processor time before a weak one`() =
