Report a cancellation whose write has no answer as unknown

Cause: a cancellation whose write got no answer was answered with 503 like one that the store had refused, although it may have been stored or may be later: the caller was told that nothing had happened.

Test: OwnerTest "should report a cancellation whose write has no answer as unknown" (the result is new, so it does not compile against the code before).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
@@ -50,10 +50,15 @@
 
     public data object NoSuchJob : LookupResult<Nothing>
 
-    /** The store gave no usable answer. A cancellation with this result may have been stored all the same. */
+    /** The store gave no usable answer. Nothing was changed. */
     public data class Unavailable(
         val reason: String,
     ) : LookupResult<Nothing>
+
+    /** The cancellation may be stored, or be stored later. The caller can find out by repeating it. */
+    public data class Unknown(
+        val reason: String,
+    ) : LookupResult<Nothing>
 }
 
 /** Accepts jobs, cancels them and reports their state. Works on any instance, since it only uses the store. */
@@ -149,6 +154,7 @@
             }
             LookupResult.NoSuchJob -> acceptedState(id, workspace)
             is LookupResult.Unavailable -> progress
+            is LookupResult.Unknown -> progress
         }
     }
 
@@ -167,6 +173,7 @@
             }
             LookupResult.NoSuchJob -> LookupResult.NoSuchJob
             is LookupResult.Unavailable -> row
+            is LookupResult.Unknown -> row
         }
 
     private fun stateIfVisible(
@@ -189,34 +196,47 @@
         timeoutMs: Long,
     ): LookupResult<Unit> {
         val endMs = clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS)
+        var isUncertain = false
         while (true) {
-            if (isStoreUnavailable()) return LookupResult.Unavailable(STORE_UNAVAILABLE_REASON)
+            if (isStoreUnavailable()) return cancelFailed(id, STORE_UNAVAILABLE_REASON, isUncertain)
             val row =
                 when (val read = readRow { store.read(Rows.job(id)) }) {
                     is LookupResult.Found -> read.value
                     LookupResult.NoSuchJob -> return LookupResult.NoSuchJob
-                    is LookupResult.Unavailable -> null
+                    is LookupResult.Unavailable, is LookupResult.Unknown -> null
                 }
             if (row != null) {
                 val stored = Rows.decodeJob(row.value) ?: return unreadable(row)
                 if (stored.spec.workspace != workspace) return LookupResult.NoSuchJob
-                if (stored.isCancelled || writeCancelled(row, stored)) {
+                val result = if (stored.isCancelled) null else writeCancelled(row, stored)
+                if (result == null || result is CommitResult.Committed) {
                     log.record(SchedulerEvent.JOB_CANCEL_ACCEPTED, id, "version" to row.version)
                     return LookupResult.Found(Unit)
                 }
+                if (result is CommitResult.Unknown) isUncertain = true
             }
-            if (clock.monotonicMs() >= endMs) return LookupResult.Unavailable("the store did not answer in time")
+            if (clock.monotonicMs() >= endMs) return cancelFailed(id, "the store did not answer in time", isUncertain)
             delay(RETRY_DELAY_MS)
         }
     }
 
+    private fun cancelFailed(
+        id: String,
+        reason: String,
+        isUncertain: Boolean,
+    ): LookupResult<Nothing> {
+        if (!isUncertain) return LookupResult.Unavailable(reason)
+        log.record(SchedulerEvent.JOB_OUTCOME_UNKNOWN, id, "call" to "cancel", "reason" to reason)
+        return LookupResult.Unknown(reason)
+    }
+
     private suspend fun writeCancelled(
         row: StoredRow,
         stored: AcceptedJob,
-    ): Boolean {
+    ): CommitResult {
         val value = Rows.encode(stored.copy(isCancelled = true))
         val write = RowTransaction(listOf(RowCondition(row.key, row.version)), listOf(RowWrite(row.key, value)))
-        return store.commit(write) is CommitResult.Committed
+        return store.commit(write)
     }
 
     /**
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -85,6 +85,19 @@
             ).isA<SubmitResult.Unknown>()
         }
 
+    // Guards against telling a caller that its job was not cancelled while the write may still take effect.
+    @Test
+    fun `should report a cancellation whose write has no answer as unknown`() =
+        runTest {
+            val cluster = SimulatedCluster(this)
+            val one = cluster.Instance("one")
+            cluster.submit(one, "a", "routine", StepSpec(1, SimulatedCluster.ONE_ACCELERATOR))
+            one.store.nextWrite = { WriteFault.ANSWER_LOST_NOT_APPLIED }
+            expectThat(one.jobApi.cancel("a", "team", 1_000)).isA<LookupResult.Unknown>()
+            one.store.nextWrite = { WriteFault.REFUSED }
+            expectThat(one.jobApi.cancel("a", "team", 1_000)).isA<LookupResult.Unavailable>()
+        }
+
     // Guards against ends that are acknowledged, and so forgotten by the worker, before they are stored: the next owner
     // would run the tasks again.
     @Test
