Limit the open work of a workspace

Cause: nothing bounded the jobs that a workspace has open, so one of them could fill the owner's memory, and each next owner reads the same rows.

Change: the owner adds up the open work of each workspace in units of a task, 16 for a job. From 16,000 units a workspace is saturated, and beyond 40,000 in total each that has its equal share.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
@@ -31,6 +31,12 @@
         val reason: String,
     ) : SubmitResult
 
+    /**
+     * The workspace has as much open work as it may have. The job is not stored and this call will not store it later
+     * either.
+     */
+    public data object TooMuchOpenWork : SubmitResult
+
     /** The job is not stored and this call will not store it later either. */
     public data class NotAccepted(
         val reason: String,
@@ -61,12 +67,17 @@
     ) : LookupResult<Nothing>
 }
 
-/** Accepts jobs, cancels them and reports their state. Works on any instance, since it only uses the store. */
+/**
+ * Accepts jobs, cancels them and reports their state. Works on any instance, since it only uses the store.
+ *
+ * @param isSaturated whether the owner has reported that a workspace may add no open work.
+ */
 public class JobApi(
     private val store: RowStore,
     private val clock: Clock,
     private val log: DecisionLog,
     settings: SchedulerSettings,
+    private val isSaturated: (workspace: String) -> Boolean = { false },
     private val isStoreUnavailable: () -> Boolean = { false },
 ) {
     private val maxRowBytes = settings.maxRowBytes
@@ -86,6 +97,7 @@
     ): SubmitResult {
         limits.violationOf(spec)?.let { return SubmitResult.Invalid(it) }
         if (isStoreUnavailable()) return SubmitResult.NotAccepted(STORE_UNAVAILABLE_REASON)
+        if (isSaturated(spec.workspace)) return repeatOrTooMuch(spec)
         val endMs = clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS)
         val key = Rows.job(spec.id)
         val value = Rows.encode(AcceptedJob(spec, clock.wallMs()))
@@ -96,7 +108,7 @@
         while (true) {
             when (val result = store.commit(write)) {
                 is CommitResult.Committed -> return accepted(spec, "version" to result.version, isRepeat = false)
-                is CommitResult.Conflicted -> return onConflict(spec, result)
+                is CommitResult.Conflicted -> return onConflict(spec, result.rows.firstOrNull())
                 is CommitResult.Rejected -> return SubmitResult.Invalid(result.reason)
                 is CommitResult.Unavailable -> if (!isUncertain) return SubmitResult.NotAccepted(result.reason)
                 is CommitResult.Unknown -> isUncertain = true
@@ -109,6 +121,15 @@
         }
     }
 
+    /** Accepts [spec] only if an earlier call has stored it, since a refusal says that the job never runs. */
+    private suspend fun repeatOrTooMuch(spec: JobSpec): SubmitResult =
+        when (val row = readRow { store.read(Rows.job(spec.id)) }) {
+            is LookupResult.Found -> onConflict(spec, row.value)
+            LookupResult.NoSuchJob -> SubmitResult.TooMuchOpenWork
+            is LookupResult.Unavailable -> SubmitResult.NotAccepted(row.reason)
+            is LookupResult.Unknown -> SubmitResult.NotAccepted(row.reason)
+        }
+
     private fun accepted(
         spec: JobSpec,
         input: Pair<String, Any?>,
@@ -127,9 +148,9 @@
 
     private fun onConflict(
         spec: JobSpec,
-        conflict: CommitResult.Conflicted,
+        row: StoredRow?,
     ): SubmitResult {
-        val stored = conflict.rows.firstOrNull()?.let { Rows.decodeJob(it.value) }
+        val stored = row?.let { Rows.decodeJob(it.value) }
         if (stored == null) return SubmitResult.NotAccepted("the row of the id holds something else")
         if (stored.spec.workspace !=
             spec.workspace
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -44,6 +44,20 @@
     /** Version of the lease row after this instance's last confirmed write; the condition of its next write. */
     private var leaseVersion = 0L
 
+    /** Value of the lease row as last read while another instance holds it, and the monotonic time of the read. */
+    private var observedLease: LeaseValue? = null
+    private var observedAtMs = 0L
+
+    /**
+     * Whether [workspace] may add no open work, as the owner has last reported. False when nothing was heard of an owner
+     * for a while.
+     */
+    public fun isSaturated(workspace: String): Boolean {
+        current?.let { return workspace in it.saturatedWorkspaces }
+        if (clock.monotonicMs() - observedAtMs > settings.maxLeaseTtlMs) return false
+        return observedLease?.let { workspace in it.saturatedWorkspaces } ?: false
+    }
+
     /** Takes part in elections until cancelled. */
     public suspend fun run() {
         while (true) {
@@ -99,6 +113,8 @@
                 seenVersion = scan.version
             }
             val value = latestRow?.let { decode(it) }
+            observedLease = value
+            observedAtMs = changedAtMs
             val acquirableAtMs =
                 when {
                     value == null || value.holder.isEmpty() -> changedAtMs + settings.candidateDelayMs
@@ -215,7 +231,8 @@
             if (ownership.isLost || !ownership.canExtendRunLeases) return
             val sentAt = clock.now()
             val ttlMs = (settings.leaseTtlMs + latencyMs * LATENCY_FACTOR).coerceAtMost(settings.maxLeaseTtlMs)
-            val value = LeaseValue(settings.instance, ownership.epoch, ++renewals, ttlMs)
+            val saturated = ownership.saturatedWorkspaces
+            val value = LeaseValue(settings.instance, ownership.epoch, ++renewals, ttlMs, saturated)
             val result = store.commit(leaseWrite(leaseVersion, value))
             val version =
                 when (result) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -159,6 +159,9 @@
     private val maxBegunTasks: Int = limits.begunTasksOf(accepted.spec)
     private val taskCount: Long = accepted.spec.steps.sumOf { it.count.toLong() }
 
+    /** Most tasks of the job that the owner keeps at a time. */
+    val openTaskLimit: Long = taskCount * maxOpenOccurrences
+
     private val stepsByOccurrence = sortedMapOf<Int, List<StepRun>>()
     private val finishedOccurrences = HashSet<Int>()
 
@@ -192,7 +195,7 @@
      * tasks whose progress fits into the job's row.
      */
     fun startable(waiting: List<Task>): List<Task> {
-        if (taskCount * maxOpenOccurrences <= maxBegunTasks) return waiting
+        if (openTaskLimit <= maxBegunTasks) return waiting
         val begun = openSteps.sumOf { step -> step.tasks.count { it.lastAttempt > 0 && !it.isDone } }
         var left = maxBegunTasks - begun
         return waiting.filter { it.lastAttempt > 0 || left-- > 0 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
@@ -8,7 +8,8 @@
 
 /**
  * Value of the lease row. An empty [holder] means that the ownership was released. [renewals] makes each renewal change
- * the row. Other instances may acquire the ownership once the row has not changed for [ttlMs].
+ * the row. Other instances may acquire the ownership once the row has not changed for [ttlMs]. Every instance reads the
+ * row, so it also names the [saturatedWorkspaces], which may add no open work.
  */
 @Serializable
 internal data class LeaseValue(
@@ -16,6 +17,7 @@
     val epoch: Long,
     val renewals: Long,
     val ttlMs: Long = 0,
+    val saturatedWorkspaces: Set<String> = emptySet(),
 )
 
 /**
@@ -37,6 +39,9 @@
     /** Age of [renewedAt] at which the ownership expires. */
     internal var ttlMs: Long = settings.leaseTtlMs
 
+    /** Workspaces that may add no open work, as last determined by this owner. */
+    internal var saturatedWorkspaces: Set<String> = emptySet()
+
     /** Whether the ownership has ended: released, its term over, or a worker has seen a higher epoch. */
     internal var isLost: Boolean = false
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/QueueLengths.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/QueueLengths.kt
@@ -8,7 +8,10 @@
 import org.orioleferry.scheduler.store.Rows
 import org.orioleferry.scheduler.store.WaitingJobs
 
-/** Publishes the number of jobs of each queue that have not started, for the instances that answer callers. */
+/**
+ * Publishes the number of jobs of each queue that have not started, for the instances that answer callers, and determines
+ * the workspaces that may add no open work.
+ */
 internal class QueueLengths(
     private val dependencies: OwnerDependencies,
     private val ownership: Ownership,
@@ -25,6 +28,7 @@
                     .filter { !it.hasStarted }
                     .groupingBy { it.accepted.spec.queue }
                     .eachCount()
+            ownership.saturatedWorkspaces = OpenWork.saturatedWorkspaces(jobRegistry.activeJobs)
             if (ownership.canDecide) publish(waitingJobsByQueue)
             delay(PERIOD_MS)
         }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -97,7 +97,6 @@
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
         private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs)
-        val jobApi = JobApi(store, clock, NO_LOG, settings) { health.isUnavailable }
         val link = Link()
         private val dependencies =
             OwnerDependencies(
@@ -112,6 +111,7 @@
                 advice(step, asked)
             }
         val election = Election(store, clock, settings, NO_LOG) { runOwnerTerm(dependencies, it) }
+        val jobApi = JobApi(store, clock, NO_LOG, settings, election::isSaturated) { health.isUnavailable }
         private var work: Job? = null
 
         /** Starts taking part in the election. A running incarnation of the instance is stopped first. */
