--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -14,6 +14,7 @@
     private val ownership: Ownership,
     private val runs: RunControl,
     private val scope: CoroutineScope,
+    private val evacuation: Evacuation,
 ) {
     private class Entry(
         val session: WorkerSession,
@@ -45,6 +46,7 @@
                 is DirectoryResult.Unavailable -> Unit
             }
             reportEarlierLeasesExpired()
+            if (ownership.canDecide) entriesById.values.forEach { evacuation.check(it.session) }
             delay(REFRESH_MS)
         }
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -59,6 +59,40 @@
 
     /** Monotonic time at which the worker confirmed the start or stop; answers to later renewals must list the run. */
     var confirmedAtMs: Long? = null
+
+    /** Returns the time in ms until the run ends, extrapolated from its progress; [Long.MAX_VALUE] if unknown. */
+    fun remainingMs(nowMs: Long): Long {
+        val progress = percent - firstPercent
+        if (progress < MIN_PROGRESS_PERCENT) return Long.MAX_VALUE
+        val msPerPercent = (progressedAtMs - firstPercentAtMs) / progress
+        return untilMs(progressedAtMs + ((PERCENT - percent) * msPerPercent).toLong(), nowMs)
+    }
+
+    /** Like [remainingMs], but falls back on the time since the start and the caller's estimate. */
+    fun expectedRemainingMs(nowMs: Long): Long {
+        val remainingMs = remainingMs(nowMs)
+        val beganMs = confirmedAtMs
+        if (remainingMs != Long.MAX_VALUE || !isSpeedSample || beganMs == null) return remainingMs
+        val hasProgress = percent >= MIN_PROGRESS_PERCENT
+        val durationMs = if (hasProgress) ((progressedAtMs - beganMs) * PERCENT / percent).toLong() else estimateMs
+        return untilMs(beganMs + durationMs, nowMs)
+    }
+
+    // A run that is overdue by more than the margin shows that the prediction was wrong.
+    private fun untilMs(
+        endMs: Long,
+        nowMs: Long,
+    ): Long = if (endMs - nowMs < -OVERDUE_MARGIN_MS) Long.MAX_VALUE else endMs - nowMs
+
+    private companion object {
+        const val PERCENT = 100
+
+        // Progress below this is too coarse to predict an end.
+        const val MIN_PROGRESS_PERCENT = 15
+
+        // Longest time between two listings of a worker's runs.
+        const val OVERDUE_MARGIN_MS = 2_000L
+    }
 }
 
 /** A task, the unit that runs on one worker. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -58,7 +58,8 @@
             val monitor = ProgressMonitor(dependencies, orders)
             val runs = RunControl(dependencies, ownership, jobRegistry, writer, orders, monitor, this, replan)
             orders.onGone = runs::onGone
-            val fleet = Fleet(dependencies, ownership, runs, this)
+            val evacuation = Evacuation(clock, orders, dependencies.settings.maxStopMs)
+            val fleet = Fleet(dependencies, ownership, runs, this, evacuation)
             val tickets = TicketProvider(dependencies, this, replan)
             val placement =
                 Placement(
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -233,21 +233,10 @@
                     step.countedNeed,
                     group.map { it.session.id },
                     group.sumOf { lostCoreMs(it) },
-                    group.maxOf { remainingMs(it) },
+                    group.maxOf { it.remainingMs(clock.monotonicMs()) },
                 )
             }
 
-    /** Returns the time in ms until [run] ends, extrapolated from its progress; [Long.MAX_VALUE] if unknown. */
-    private fun remainingMs(run: Run): Long {
-        val progress = run.percent - run.firstPercent
-        if (progress < MIN_PROGRESS_PERCENT) return Long.MAX_VALUE
-        val msPerPercent = (run.progressedAtMs - run.firstPercentAtMs) / progress
-        val endAtMs = run.progressedAtMs + ((PERCENT - run.percent) * msPerPercent).toLong()
-        val remaining = endAtMs - clock.monotonicMs()
-        // A run that is overdue by more than this margin shows that the prediction was wrong.
-        return if (remaining < -OVERDUE_MARGIN_MS) Long.MAX_VALUE else remaining
-    }
-
     /** Returns the work that preempting [run] loses, in ms of one core, including the cost of its restart. */
     private fun lostCoreMs(run: Run): Long {
         val need = run.task.step.spec.need
@@ -298,14 +287,6 @@
         // A job that ends after three times its objective has no value.
         const val LATE_FACTOR = 3
 
-        const val PERCENT = 100
-
-        // Progress below this is too coarse to predict an end.
-        const val MIN_PROGRESS_PERCENT = 15
-
-        // Longest time between two listings of a worker's runs.
-        const val OVERDUE_MARGIN_MS = 2_000L
-
         // Approximate cost of a restart in addition to the lost work.
         const val RESTART_COST_MS = 600L
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -119,6 +119,12 @@
         wakeUp.trySend(Unit)
     }
 
+    /** Returns the shortest time in ms until the worker leaves, or null if it is not known to leave. */
+    fun leavesInMs(): Long? {
+        val leavesAtMs = listed.leavesAtMs?.takeIf { listed.isDraining && isClaimed } ?: return null
+        return leavesAtMs - workerClockMs - (clock.monotonicMs() - workerClockReadAtMs)
+    }
+
     /** Returns the deadline on the worker's clock for an order sent now, in ms. */
     fun nextDeadlineMs(): Long {
         val deadline = workerClockMs + (clock.monotonicMs() - workerClockReadAtMs) + settings.runLeaseMs
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
@@ -22,6 +22,7 @@
  * @property incarnationMs wall-clock time at which this incarnation started, Unix ms; a higher value under the same id
  *   is a new incarnation.
  * @property isDraining whether the worker is leaving and takes no new work.
+ * @property leavesAtMs earliest time at which a draining worker leaves, on its own clock in ms, or null if not known.
  */
 public data class ListedWorker(
     val id: String,
@@ -33,6 +34,7 @@
     val capacity: Resources,
     val incarnationMs: Long,
     val isDraining: Boolean,
+    val leavesAtMs: Long? = null,
 )
 
 /**
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -57,6 +57,9 @@
     var isReachable = true
     var isDraining = false
 
+    /** Announced time of leaving on the worker's clock, or null. */
+    var leavesAtMs: Long? = null
+
     /** Whether runs make no progress while the worker answers as usual. */
     var isStalled = false
     private var frozenAtMs = -1L
@@ -81,7 +84,18 @@
     var ticketFor: (TaskId) -> String? = { null }
 
     fun listed(): ListedWorker =
-        ListedWorker(id, id, "pool", "dc", rack, setOf("a", rack), capacity, 1_000L + incarnation, isDraining)
+        ListedWorker(
+            id,
+            id,
+            "pool",
+            "dc",
+            rack,
+            setOf("a", rack),
+            capacity,
+            1_000L + incarnation,
+            isDraining,
+            leavesAtMs,
+        )
 
     fun crash() {
         val lost = runs.keys.toList()
