--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.scheduler.simulation
 
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
@@ -36,6 +37,7 @@
 import org.orioleferry.scheduler.workers.TaskId
 import org.orioleferry.scheduler.workers.WorkerDirectory
 import org.orioleferry.scheduler.workers.WorkerLink
+import kotlin.coroutines.ContinuationInterceptor
 
 /** Clock that follows the virtual time of a test. */
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -114,10 +116,13 @@
         val jobApi = JobApi(store, clock, NO_LOG, settings, election::isSaturated) { health.isUnavailable }
         private var work: Job? = null
 
+        /** Runs the coroutines of this instance; pausing it suspends the process. */
+        val process = PausableDispatcher(background.coroutineContext[ContinuationInterceptor] as CoroutineDispatcher)
+
         /** Starts taking part in the election. A running incarnation of the instance is stopped first. */
         fun start() {
             work?.cancel()
-            work = background.launch { election.run() }
+            work = background.launch(process) { election.run() }
         }
 
         fun kill() {
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -53,6 +53,9 @@
     private val endSignal = MutableStateFlow(0L)
     private var incarnation = 0
 
+    /** Whether orders with a lower token than the highest seen are refused; off to show which faults that prevents. */
+    var checksTokens = true
+
     /** Whether calls reach the worker. Its runs continue while they do not. */
     var isReachable = true
     var isDraining = false
@@ -111,7 +114,7 @@
     }
 
     fun start(order: StartOrder): StartResult {
-        if (order.fence < token) return StartResult.Refused(StartRefusal.FENCED)
+        if (checksTokens && order.fence < token) return StartResult.Refused(StartRefusal.FENCED)
         token = maxOf(token, order.fence)
         if (order.deadlineMs <= clock.monotonicMs()) return StartResult.Refused(StartRefusal.LATE)
         deadlineMs = maxOf(deadlineMs, order.deadlineMs)
@@ -190,7 +193,7 @@
         run: RunId,
         fence: Long,
     ): StopResult {
-        if (fence < token) return StopResult.FENCED
+        if (checksTokens && fence < token) return StopResult.FENCED
         token = maxOf(token, fence)
         closedAttempts.merge(run.task, run.attempt, ::maxOf)
         scope.launch {
@@ -206,7 +209,7 @@
         newDeadlineMs: Long?,
         waitMs: Int,
     ): RenewalResult {
-        if (fence < token) return RenewalResult.Fenced
+        if (checksTokens && fence < token) return RenewalResult.Fenced
         token = maxOf(token, fence)
         newDeadlineMs?.let { deadlineMs = maxOf(deadlineMs, it) }
         ends.filter { it.number <= lastSeen }.forEach { records.acknowledged(it.id, it.ending) }
