--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
@@ -19,54 +19,6 @@
 import org.orioleferry.scheduler.store.StoredRow
 import org.orioleferry.scheduler.store.read
 
-/** Result of submitting a job. */
-public sealed interface SubmitResult {
-    /** The job is stored. [isRepeat] is true when an earlier call stored it. */
-    public data class Accepted(
-        val isRepeat: Boolean,
-    ) : SubmitResult
-
-    /** The job is beyond the limits and will be refused again. It is not stored. */
-    public data class Invalid(
-        val reason: String,
-    ) : SubmitResult
-
-    /**
-     * The workspace has as much open work as it may have. The job is not stored and this call will not store it later
-     * either.
-     */
-    public data object TooMuchOpenWork : SubmitResult
-
-    /** The job is not stored and this call will not store it later either. */
-    public data class NotAccepted(
-        val reason: String,
-    ) : SubmitResult
-
-    /** The job may be stored. The caller can find out by submitting it again under the same id. */
-    public data class Unknown(
-        val reason: String,
-    ) : SubmitResult
-}
-
-/** Result of reading or cancelling a job. Jobs of other workspaces are reported as [NoSuchJob]. */
-public sealed interface LookupResult<out T> {
-    public data class Found<T>(
-        val value: T,
-    ) : LookupResult<T>
-
-    public data object NoSuchJob : LookupResult<Nothing>
-
-    /** The store gave no usable answer. Nothing was changed. */
-    public data class Unavailable(
-        val reason: String,
-    ) : LookupResult<Nothing>
-
-    /** The cancellation may be stored, or be stored later. The caller can find out by repeating it. */
-    public data class Unknown(
-        val reason: String,
-    ) : LookupResult<Nothing>
-}
-
 /**
  * Accepts jobs, cancels them and reports their state. Works on any instance, since it only uses the store.
  *
@@ -304,28 +256,3 @@
         const val MAX_LENGTHS_AGE_MS = 2_000L
     }
 }
-
-/**
- * Caches the [LIMIT] latest final states by job id, each with the workspace of the job. Final states never change, so
- * cached ones stay valid.
- */
-private class EndedStateCache {
-    private val states =
-        object : LinkedHashMap<String, Pair<String, JobState>>() {
-            override fun removeEldestEntry(eldest: Map.Entry<String, Pair<String, JobState>>): Boolean = size > LIMIT
-        }
-
-    operator fun get(id: String): Pair<String, JobState>? = states[id]
-
-    operator fun set(
-        id: String,
-        value: Pair<String, JobState>,
-    ) {
-        states[id] = value
-    }
-
-    private companion object {
-        // An entry takes about 100 bytes.
-        const val LIMIT = 10_000
-    }
-}
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -14,49 +14,9 @@
 import org.orioleferry.scheduler.workers.ListedWorker
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RenewalResult
-import org.orioleferry.scheduler.workers.RunEndRecord
 import org.orioleferry.scheduler.workers.RunId
 import org.orioleferry.scheduler.workers.WorkerLink
 
-/** Receives the events of a [WorkerSession]. */
-internal interface SessionListener {
-    /**
-     * The worker has listed a run's end. Returns the sequence number of the change that must be stored before the end
-     * is acknowledged.
-     */
-    fun onEnd(
-        session: WorkerSession,
-        end: RunEndRecord,
-    ): Long
-
-    /** The worker has listed a run that the session does not know. */
-    fun onUnknownRun(
-        session: WorkerSession,
-        present: PresentRun,
-    )
-
-    /** A run has certainly ended and the worker cannot list its end. */
-    fun onGone(
-        run: Run,
-        reason: String,
-    )
-
-    /**
-     * The worker has restarted under the same id. Orders sent before this was known may have been executed in the new
-     * incarnation, or may still be, so it is not certain that its runs have ended.
-     */
-    fun onNewIncarnation(session: WorkerSession)
-
-    /** The worker has accepted the fencing token, and all its runs have been reported. */
-    fun onClaimed(session: WorkerSession)
-
-    /** The worker's listing was processed; free resources and progress may have changed. */
-    fun onListed(session: WorkerSession)
-
-    /** Sequence number up to which changes are stored. */
-    val storedSequence: Long
-}
-
 /**
  * Session with one worker: claims it with the fencing token, extends the leases of its runs, and receives their ends.
  *
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -98,6 +98,32 @@
             expectThat(one.jobApi.cancel("a", "team", 1_000)).isA<LookupResult.Unavailable>()
         }
 
+    // Guards against a server that has left and is used again by an owner that was started after it left.
+    @Test
+    fun `should start nothing on a worker that has left after the owner is replaced`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 2)
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            cluster.submit(one, "a", "routine", StepSpec(16, SimulatedCluster.ONE_ACCELERATOR, 1_000))
+            delay(2_000)
+            cluster.workers.getValue("w0").isDraining = true
+            delay(1_000)
+            cluster.deregisteredWorkers += "w0"
+            cluster.departedWorkers += "w0"
+            one.kill()
+            val two = cluster.Instance("two").also { it.start() }
+            cluster.submit(two, "b", "routine", StepSpec(8, SimulatedCluster.ONE_ACCELERATOR, 1_000))
+            delay(6_000)
+            expectThat(cluster.stateOf(two, "b")).isEqualTo(JobState.COMPLETED)
+            expectThat(
+                cluster.records
+                    .runsOf("b")
+                    .map { it.worker }
+                    .toSet(),
+            ).isEqualTo(setOf("w1"))
+        }
+
     // Guards against ends that are acknowledged, and so forgotten by the worker, before they are stored: the next owner
     // would run the tasks again.
     @Test
