--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/Supervision.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/Supervision.kt
@@ -10,7 +10,7 @@
 
 /**
  * Runs [action] until this coroutine is cancelled. What [action] throws is logged with [name] and [id], and it is started
- * again; errors of the virtual machine, such as a lack of memory, are no exception, since the process goes on after them.
+ * again, errors of the virtual machine included: the process goes on after a lack of memory, without the part that ended.
  */
 public suspend fun supervise(
     log: DecisionLog,
