Test that removed jobs are forgotten when the feed has lost its history

OwnerTest "should forget a job whose row was removed while the history of the feed was lost" failed on (the queue's length stays 1) and passes.

--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/OwnerTest.kt
@@ -10,6 +10,8 @@
 import org.orioleferry.scheduler.simulation.Outcome
 import org.orioleferry.scheduler.simulation.SimulatedCluster
 import org.orioleferry.scheduler.simulation.WriteFault
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.Rows
 import org.orioleferry.scheduler.workers.RunEnding
 import strikt.api.expectThat
 import strikt.assertions.hasSize
@@ -98,6 +100,22 @@
             expectThat(one.jobApi.cancel("a", "team", 1_000)).isA<LookupResult.Unavailable>()
         }
 
+    // Guards against jobs that stay with the owner although their rows were removed while the feed had lost its history.
+    @Test
+    fun `should forget a job whose row was removed while the history of the feed was lost`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 1)
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            cluster.submit(one, "wide", "routine", StepSpec(1, SimulatedCluster.WORKER_CAPACITY * 2, 1_000))
+            delay(3_000)
+            expectThat(one.jobApi.queueLength("routine")).isEqualTo(1)
+            cluster.rows.apply(RowTransaction(removals = listOf(Rows.job("wide"))))
+            cluster.rows.trimHistory()
+            delay(5_000)
+            expectThat(one.jobApi.queueLength("routine")).isEqualTo(0)
+        }
+
     // Guards against a server that has left and is used again by an owner that was started after it left.
     @Test
     fun `should start nothing on a worker that has left after the owner is replaced`() =
