--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/ManifestHolder.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/ManifestHolder.kt
@@ -25,7 +25,10 @@
      * Whether the store confirmed within [SchedulerSettings.maxManifestAgeMs] that there is no newer manifest, which
      * may revoke keys.
      */
-    public val isFresh: Boolean get() = confirmedAt?.let { clock.ageOf(it) < settings.maxManifestAgeMs } ?: false
+    public val isFresh: Boolean get() = ageMs?.let { it < settings.maxManifestAgeMs } ?: false
+
+    /** Time in ms since the call was sent whose answer last confirmed the manifest, or null before the first. */
+    public val ageMs: Long? get() = confirmedAt?.let { clock.ageOf(it) }
 
     /** Puts [manifest] in force unless the current one has the same or a higher version. */
     public fun updateIfNewer(manifest: Manifest) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -49,6 +49,7 @@
     private val planSignal = Channel<Unit>(Channel.CONFLATED)
     private val writer = ProgressWriter(store, ownership, dependencies.log)
     private val jobRegistry = JobRegistry(dependencies, writer, ownership)
+    private val passLog = PassLog(clock, dependencies.log, dependencies.settings.instance)
 
     /** Runs until cancelled or until the ownership is lost. */
     suspend fun run(): Unit =
@@ -185,10 +186,17 @@
         while (!ownership.isLost) {
             val nextMs = placement.nextTimerMs()
             withTimeoutOrNull(nextMs) { planSignal.receive() }
-            delay(maxOf(GROUP_DELAY_MS, lastPassMs * PAUSE_FACTOR))
+            val dueMs = clock.monotonicMs() + maxOf(GROUP_DELAY_MS, lastPassMs * PAUSE_FACTOR)
+            delay(dueMs - clock.monotonicMs())
+            if (!ownership.canDecide) {
+                delay(RETRY_MS)
+                continue
+            }
             val beganMs = clock.monotonicMs()
-            if (ownership.canDecide) placement.runPass() else delay(RETRY_MS)
-            lastPassMs = minOf(clock.monotonicMs() - beganMs, MAX_COUNTED_PASS_MS)
+            placement.runPass()
+            val passMs = clock.monotonicMs() - beganMs
+            passLog.record(passMs, beganMs - dueMs)
+            lastPassMs = minOf(passMs, MAX_COUNTED_PASS_MS)
         }
     }
 
