Send no start of a gang whose end has been listed meanwhile

Cause: a start waits for its row to be stored, and for the answer to an earlier try. Before it is sent, the owner checked its own permission and that the run still belongs to the task, but not whether the task still has to run. The pending runs of other tasks are stopped when an end as done arrives; those of gangs are not, since the members of one attempt end together. An end of an earlier attempt therefore did not hold back the start of the next one.

The next owner could not claim that worker until 55.5 s; at 54.1 s all leases of earlier owners had run out, and the gang was placed anew. The claim listed the end, the job was completed and the end acknowledged at 56.0 s; the pending start left at 59.2 s.

Why it works: a start is sent only if its task is not done and its job is live, and an end as done stops the runs of other attempts of a gang as it stops those of other tasks.

Test: WorkerFaultsTest "should not start a gang again whose end is listed while the start waits to be stored" failed before (four runs, not two).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -53,7 +53,7 @@
         task.lastAttempt = maxOf(task.lastAttempt, end.id.attempt)
         if (end.checkpoint.isNotEmpty()) saveCheckpoint(task, end.checkpoint)
         return when (end.ending) {
-            RunEnding.DONE -> onDone(job, task, session)
+            RunEnding.DONE -> onDone(job, task, end.id.attempt, session)
             RunEnding.FAILED -> onFailed(job, task, end.id.attempt, session)
             RunEnding.STOPPED, RunEnding.LAPSED, RunEnding.BROKEN, RunEnding.ALONE -> {
                 stopGangMembersOfAttempt(task, end.id)
@@ -65,6 +65,7 @@
     private fun onDone(
         job: Job,
         task: Task,
+        attempt: Int,
         session: WorkerSession,
     ): Long {
         session.consecutiveFailures = 0
@@ -72,7 +73,10 @@
         val members = if (task.step.spec.isGang) task.step.tasks else listOf(task)
         members.forEach { member ->
             member.step.markDone(member)
-            if (!task.step.spec.isGang) member.run?.let { orders.stop(it, "the task is done") }
+            // The other members of the same attempt end by themselves.
+            member.run
+                ?.takeIf { !task.step.spec.isGang || it.id.attempt != attempt }
+                ?.let { orders.stop(it, "the task is done") }
         }
         return if (job.settleOccurrences()) {
             jobRegistry.end(
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -64,8 +64,7 @@
         var result: StartResult = StartResult.Unknown("not sent")
         var mayHaveStarted = false
         for (tryNumber in 1..MAX_START_TRIES) {
-            // The run may have ended, and its worker restarted, while an earlier try waited for its answer.
-            if (!ownership.canDecide || run.state == RunState.STOPPING || run.task.run !== run) break
+            if (!isStartWanted(run)) break
             result = dependencies.link.start(run.session.listed, startOrderOf(run))
             if (result !is StartResult.Unknown) break
             mayHaveStarted = true
@@ -86,6 +85,17 @@
         }
     }
 
+    /**
+     * Whether [run] may be started now. While its start waited for its row, for its turn or for the answer to an earlier
+     * try, the ownership may have lapsed, the run may have ended, and a worker may have listed that its task is done.
+     */
+    private fun isStartWanted(run: Run): Boolean =
+        ownership.canDecide &&
+            run.state != RunState.STOPPING &&
+            run.task.run === run &&
+            !run.task.isDone &&
+            run.task.step.job.isLive
+
     private suspend fun onStarted(run: Run) {
         run.confirmedAtMs = clock.monotonicMs()
         log.record(
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
@@ -7,6 +7,9 @@
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.simulation.Outcome
 import org.orioleferry.scheduler.simulation.SimulatedCluster
+import org.orioleferry.scheduler.simulation.WriteFault
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.Rows
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -73,6 +76,32 @@
             expectThat(cluster.records.runsOf("a")).hasSize(1)
         }
 
+    // Guards against a second run of a gang whose end an owner learns while the start of the next attempt waits: a claim
+    // that succeeded only after the leases of earlier owners had run out (TWICE on the small twin of the grown Omotnica).
+    @Test
+    fun `should not start a gang again whose end is listed while the start waits to be stored`() =
+        runTest {
+            val cluster = SimulatedCluster(this) { _, _ -> Outcome(1_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            val two = cluster.Instance("two").also { it.start() }
+            val gang = StepSpec(2, SimulatedCluster.ONE_ACCELERATOR, 1_000, isGang = true)
+            cluster.submit(two, "a", "routine", gang)
+            delay(300)
+            one.kill()
+            val workers = cluster.records.runsOf("a").map { cluster.workers.getValue(it.worker) }
+            workers.forEach { it.isReachable = false }
+            two.store.nextWrite = { if (it.changesProgress()) WriteFault.REFUSED else WriteFault.NONE }
+            delay(EARLIER_LEASES_MS)
+            workers.forEach { it.isReachable = true }
+            delay(1_500)
+            two.store.nextWrite = { WriteFault.NONE }
+            delay(5_000)
+            expectThat(cluster.stateOf(two, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(cluster.records.runsOf("a")).hasSize(2)
+            expectThat(cluster.records.violations).isEmpty()
+        }
+
     // Guards against an urgent job that waits for a stalled worker, as in an incident on omotnica-split.
     @Test
     fun `should restart urgent tasks on other workers when a worker stalls`() =
@@ -164,4 +193,11 @@
             val attempts = cluster.records.runsOf("a").groupBy { it.run.attempt }
             expectThat(attempts.values.map { it.size }.toSet()).isEqualTo(setOf(12))
         }
+
+    private fun RowTransaction.changesProgress() = writes.any { it.key.table == Rows.PROGRESS }
+
+    private companion object {
+        // Time to acquire the ownership, and until every lease of an earlier owner has run out.
+        const val EARLIER_LEASES_MS = 15_000L
+    }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
@@ -106,7 +106,7 @@
 
     /** Whether reads of whole parts fail, as they do over a link with too little bandwidth. */
     var failsScans = false
-    var nextWrite: () -> WriteFault = { WriteFault.NONE }
+    var nextWrite: (RowTransaction) -> WriteFault = { WriteFault.NONE }
     var writes = 0
 
     override suspend fun scan(
@@ -146,7 +146,7 @@
         health.recordCall(!isUnavailable, "simulated")
         if (isUnavailable) return CommitResult.Unavailable("away")
         writes++
-        return when (nextWrite()) {
+        return when (nextWrite(transaction)) {
             WriteFault.NONE -> rows.apply(transaction)
             WriteFault.REFUSED -> CommitResult.Unavailable("refused")
             WriteFault.ANSWER_LOST_APPLIED -> CommitResult.Unknown("lost").also { rows.apply(transaction) }
