Confirm the manifest in a period that fits into its allowed age

Cause: a confirmation counts from the sending of its call, and is up to two periods old when the next one arrives. The store held each feed for 1.3 s and its latency came on top, so with 0.35 s the age reached 3.3 s against 2.9 s allowed. The wait was also the same for every revocation bound. A time limit counted time in which the call only waits.

Why it works: two periods and a rise of the latency by 0.5 s fit into the allowed age. A confirmation still counts from its sending, so a withdrawn key is in use no longer than before.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/ManifestHolder.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/ManifestHolder.kt
@@ -30,6 +30,15 @@
     /** Time in ms since the call was sent whose answer last confirmed the manifest, or null before the first. */
     public val ageMs: Long? get() = confirmedAt?.let { clock.ageOf(it) }
 
+    /**
+     * Time in ms after which the manifest is to be confirmed again. A confirmation counts from the sending of its call,
+     * so it is up to two periods old when the next one arrives. The limit leaves [LATENCY_RISE_MS] beyond them.
+     *
+     * A manifest also has to take effect within 2 s, even when a connection stops responding.
+     */
+    public val confirmationPeriodMs: Long =
+        ((settings.maxManifestAgeMs - LATENCY_RISE_MS) / 2).coerceIn(MIN_PERIOD_MS, MAX_PERIOD_MS)
+
     /** Puts [manifest] in force unless the current one has the same or a higher version. */
     public fun updateIfNewer(manifest: Manifest) {
         val previous = current
@@ -48,4 +57,11 @@
     public fun recordConfirmation(sentAt: ClockReading) {
         confirmedAt = sentAt
     }
+
+    private companion object {
+        // A store whose answers take 100 times as long as usual delays the confirmation after the change by 0.4 s.
+        const val LATENCY_RISE_MS = 500L
+        const val MIN_PERIOD_MS = 300L
+        const val MAX_PERIOD_MS = 1_300L
+    }
 }
