Read a job's state again until its caller stops waiting

Cause: the state was given up after two reads, of 0.2 s each when the store had been fast before. Acceptances and cancellations with the same losses are sent again until the caller's time is nearly half over.

Change: reads of single rows are repeated for as long, and end sooner only when the store is known not to answer this instance, after two tries as before.

Why it works: what ends a question is now the time of its caller, not the latency that the store had before.

Test: StateQueryTest "should answer a question for a state whose first reads are lost" failed before (no state).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
@@ -75,7 +75,7 @@
 
     /** Accepts [spec] only if an earlier call has stored it, since a refusal says that the job never runs. */
     private suspend fun repeatOrTooMuch(spec: JobSpec): SubmitResult =
-        when (val row = readRow { store.read(Rows.job(spec.id)) }) {
+        when (val row = readRow(clock.monotonicMs() + MAX_WAIT_MS) { store.read(Rows.job(spec.id)) }) {
             is LookupResult.Found -> onConflict(spec, row.value)
             LookupResult.NoSuchJob -> SubmitResult.TooMuchOpenWork
             is LookupResult.Unavailable -> SubmitResult.NotAccepted(row.reason)
@@ -112,20 +112,22 @@
         return accepted(spec, "acceptedMs" to stored.acceptedMs, isRepeat = true)
     }
 
-    /** Returns the state of a job as last stored. */
+    /** Returns the state of a job as last stored; reads it again for [timeoutMs] ms, but at most [MAX_WAIT_MS]. */
     public suspend fun state(
         id: String,
         workspace: String,
+        timeoutMs: Long = MAX_WAIT_MS,
     ): LookupResult<JobState> {
+        val endMs = clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS)
         endedStates[id]?.let { (jobWorkspace, state) -> return stateIfVisible(jobWorkspace, workspace, state) }
         if (isStoreUnavailable()) return LookupResult.Unavailable(STORE_UNAVAILABLE_REASON)
-        return when (val progress = readRow { store.read(Rows.progress(id)) }) {
+        return when (val progress = readRow(endMs) { store.read(Rows.progress(id)) }) {
             is LookupResult.Found -> {
                 val stored = Rows.decodeProgress(progress.value.value) ?: return unreadable(progress.value)
                 if (stored.state.isEnded) endedStates[id] = stored.workspace to stored.state
                 stateIfVisible(stored.workspace, workspace, stored.state)
             }
-            LookupResult.NoSuchJob -> acceptedState(id, workspace)
+            LookupResult.NoSuchJob -> acceptedState(id, workspace, endMs)
             is LookupResult.Unavailable -> progress
             is LookupResult.Unknown -> progress
         }
@@ -134,8 +136,9 @@
     private suspend fun acceptedState(
         id: String,
         workspace: String,
+        endMs: Long,
     ): LookupResult<JobState> =
-        when (val row = readRow { store.read(Rows.job(id)) }) {
+        when (val row = readRow(endMs) { store.read(Rows.job(id)) }) {
             is LookupResult.Found -> {
                 val stored = Rows.decodeJob(row.value.value) ?: return unreadable(row.value)
                 stateIfVisible(
@@ -173,7 +176,7 @@
         while (true) {
             if (isStoreUnavailable()) return cancelFailed(id, STORE_UNAVAILABLE_REASON, isUncertain)
             val row =
-                when (val read = readRow { store.read(Rows.job(id)) }) {
+                when (val read = readRow(endMs) { store.read(Rows.job(id)) }) {
                     is LookupResult.Found -> read.value
                     LookupResult.NoSuchJob -> return LookupResult.NoSuchJob
                     is LookupResult.Unavailable, is LookupResult.Unknown -> null
@@ -229,16 +232,27 @@
         return if (clock.monotonicMs() - lengthsCountedAtMs > MAX_LENGTHS_AGE_MS) null else lengthsByQueue[queue] ?: 0
     }
 
-    private suspend fun readRow(read: suspend () -> ScanResult): LookupResult<StoredRow> {
-        var reason = ""
-        repeat(MAX_READ_ATTEMPTS) {
-            when (val scan = read()) {
-                is ScanResult.Rows -> return scan.rows.firstOrNull()?.let { LookupResult.Found(it) }
-                    ?: LookupResult.NoSuchJob
-                is ScanResult.Unavailable -> reason = scan.reason
-            }
+    /**
+     * Reads a row until [endMs] on the monotonic clock, at least twice. Ends sooner when the store is known not to answer
+     * this instance.
+     */
+    private suspend fun readRow(
+        endMs: Long,
+        read: suspend () -> ScanResult,
+    ): LookupResult<StoredRow> {
+        var attempts = 0
+        while (true) {
+            attempts++
+            val reason =
+                when (val scan = read()) {
+                    is ScanResult.Rows -> return scan.rows.firstOrNull()?.let { LookupResult.Found(it) }
+                        ?: LookupResult.NoSuchJob
+                    is ScanResult.Unavailable -> scan.reason
+                }
+            val isOver = isStoreUnavailable() || clock.monotonicMs() >= endMs
+            if (isOver && attempts >= MIN_READ_ATTEMPTS) return LookupResult.Unavailable(reason)
+            if (!isOver) delay(RETRY_DELAY_MS)
         }
-        return LookupResult.Unavailable(reason)
     }
 
     private companion object {
@@ -247,7 +261,9 @@
 
         // Leaves the caller about half of its usual deadline of 3 s to retry with another instance.
         const val MAX_WAIT_MS = 1_400L
-        const val MAX_READ_ATTEMPTS = 2
+
+        // One lost answer does not show that the store is unavailable.
+        const val MIN_READ_ATTEMPTS = 2
 
         // Limits the reads from the store when many callers ask.
         const val LENGTHS_CACHE_MS = 300L
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
@@ -107,6 +107,9 @@
     /** Whether reads of whole parts fail, as they do over a link with too little bandwidth. */
     var failsScans = false
     var nextWrite: (RowTransaction) -> WriteFault = { WriteFault.NONE }
+
+    /** Number of next reads of single rows whose answers are lost. */
+    var readAnswersToLose = 0
     var writes = 0
 
     override suspend fun scan(
@@ -117,6 +120,10 @@
         limit: Int,
     ): ScanResult {
         delay(ANSWER_MS)
+        if (limit == 1 && readAnswersToLose > 0) {
+            readAnswersToLose--
+            return ScanResult.Unavailable("lost").also { health.recordCall(false, it.reason) }
+        }
         health.recordCall(!isUnavailable, "simulated")
         return if (isUnavailable ||
             (failsScans && limit > 1)
