Log the crash of a worker with the runs that were on it

What callers saw: a job that runs forever, and other work that is lost again and again, while nothing but RUN_ENDED GONE lines of each single run and a WORKER_LOST tell of it.

WORKER_CRASHED names the worker and all runs that were on it, each with the time for which it is known to have worked there. A crash is certain when another incarnation answers, under the same id or at the same address; a worker that drains, is silent or whose leases lapse has not crashed. A lapse is kept for 15 s, since the answer of the next life may come after it. An answer of another life to a stop now ends all runs of the session at once, as the same answer to a renewal does.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
@@ -59,5 +59,6 @@
     STEP_ADVISED(8416),
     SERVICE_USAGE(8417),
     QUEUE_USAGE(8418),
+    WORKER_CRASHED(8419),
     INTERNAL_ERROR(8901),
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -70,7 +70,7 @@
         }
         entriesById.values.toList().filter { it.session.id !in listed }.forEach { entry ->
             entry.session.isListed = false
-            if (entry.session.runs.isEmpty()) {
+            if (entry.session.runs.isEmpty() && !entry.session.awaitsNextLife) {
                 entry.sessionJob.cancel()
                 entriesById.remove(entry.session.id)
             }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -149,6 +149,7 @@
         run.percent = present.percent
         run.firstPercent = present.percent
         run.confirmedAtMs = clock.monotonicMs()
+        run.beganMs = run.confirmedAtMs
         run.isUrgent = dependencies.manifest()?.queue(run.queue)?.priority == 0
         orders.attach(run)
         job.hasStarted = true
@@ -194,6 +195,17 @@
         step.tasks.forEach { task -> task.run?.let { orders.stop(it, "the gang is incomplete") } }
     }
 
+    override fun onCrashed(
+        session: WorkerSession,
+        lost: List<LostRun>,
+    ) {
+        log.record(
+            SchedulerEvent.WORKER_CRASHED,
+            session.id,
+            "runs" to lost.joinToString(" ") { "${it.id.toLogName()}:${it.provenMs}" },
+        )
+    }
+
     override fun onNewIncarnation(session: WorkerSession) {
         session.runs.values
             .toList()
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -88,6 +88,7 @@
 
     private suspend fun onStarted(run: Run) {
         run.confirmedAtMs = clock.monotonicMs()
+        run.beganMs = run.confirmedAtMs
         log.record(
             SchedulerEvent.RUN_STARTED,
             run.id.toLogName(),
@@ -151,6 +152,7 @@
     /** Makes sure that [run] neither runs nor starts in a new incarnation of its worker. */
     fun stopInNewIncarnation(run: Run) {
         run.confirmedAtMs = null
+        run.isOrphaned = true
         run.state = RunState.STOPPING
         scope.launch { sendStop(run) }
     }
@@ -171,7 +173,8 @@
                 delay(RETRY_MS)
                 continue
             }
-            when (dependencies.link.stop(run.session.listed, run.id, ownership.epoch)) {
+            val worker = run.session.listed
+            when (dependencies.link.stop(worker, run.id, ownership.epoch)) {
                 StopResult.ACCEPTED -> {
                     run.confirmedAtMs = clock.monotonicMs()
                     run.session.wake()
@@ -179,6 +182,7 @@
                 }
                 StopResult.FENCED -> ownership.isLost = true
                 StopResult.OTHER_LIFE -> {
+                    run.session.onOtherLife(worker.incarnationMs)
                     if (run.task.run === run) onGone(run, "another life answers")
                     return
                 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
@@ -26,6 +26,15 @@
         reason: String,
     )
 
+    /**
+     * The worker has crashed while [lost] were on it, or may have been: orders without an answer are among them. Called
+     * before the runs end.
+     */
+    fun onCrashed(
+        session: WorkerSession,
+        lost: List<LostRun>,
+    )
+
     /**
      * The worker has restarted under the same id. Orders sent before this was known may have been executed in the new
      * incarnation, or may still be, so it is not certain that its runs have ended.
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -12,7 +12,6 @@
 import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.supervise
 import org.orioleferry.scheduler.workers.ListedWorker
-import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RenewalResult
 import org.orioleferry.scheduler.workers.RunId
 import org.orioleferry.scheduler.workers.WorkerLink
@@ -58,12 +57,10 @@
     /** Unacknowledged ends: their number at the worker, and the sequence number of the change to be stored first. */
     private val pendingEnds = ArrayDeque<Pair<Long, Long>>()
 
-    /** Reading of the worker's clock in its last answer, and the local monotonic time at which that arrived. */
-    private var workerClockMs = 0L
-    private var workerClockReadAtMs = 0L
+    private val workerClock = WorkerClock(clock, settings)
 
-    /** Latest deadline given to the worker, on the worker's clock. */
-    private var highestDeadlineMs = 0L
+    /** Runs whose leases expired while the worker did not answer; it may have crashed before. */
+    private var lapsedRuns = emptyList<LostRun>()
 
     /** Local monotonic time since which no call was answered, or -1 while the worker is reachable. */
     private var unreachableSinceMs = -1L
@@ -82,15 +79,15 @@
     /** Returns the shortest time in ms until the worker leaves, or null if it is not known to leave. */
     fun leavesInMs(): Long? {
         val leavesAtMs = listed.leavesAtMs?.takeIf { listed.isDraining && isClaimed } ?: return null
-        return leavesAtMs - workerClockMs - (clock.monotonicMs() - workerClockReadAtMs)
+        return leavesAtMs - workerClock.nowMs()
     }
 
     /** Returns the deadline on the worker's clock for an order sent now, in ms. */
-    fun nextDeadlineMs(): Long {
-        val deadline = workerClockMs + (clock.monotonicMs() - workerClockReadAtMs) + settings.runLeaseMs
-        highestDeadlineMs = maxOf(highestDeadlineMs, deadline)
-        return deadline
-    }
+    fun nextDeadlineMs(): Long = workerClock.nextDeadlineMs()
+
+    /** Whether the next answer at the worker's address may show that the worker crashed while it had runs. */
+    val awaitsNextLife: Boolean
+        get() = lapsedRuns.isNotEmpty() && clock.monotonicMs() - unreachableSinceMs < NEXT_LIFE_WAIT_MS
 
     /** Applies a changed directory entry. */
     fun update(entry: ListedWorker) {
@@ -155,7 +152,7 @@
                 ownership.isLost = true
             }
             RenewalResult.OtherIncarnation -> {
-                if (incarnation == listed.incarnationMs) endIncarnation("another life answers")
+                onOtherLife(incarnation)
                 delay(RETRY_MS)
             }
             is RenewalResult.Unreachable -> onUnreachable(result)
@@ -176,9 +173,10 @@
             return
         }
         if (unreachableSinceMs >= 0) unreachableSinceMs = -1
-        val sinceListedMs = renewed.clockMs - workerClockMs
-        workerClockMs = renewed.clockMs
-        workerClockReadAtMs = clock.monotonicMs()
+        lapsedRuns = emptyList()
+        // After a longer gap the worker, its path or this process stood still, and so may have the runs.
+        val sinceListedMs =
+            workerClock.update(renewed.clockMs).takeIf { it <= settings.pollWaitMs + MAX_LISTING_DELAY_MS }
         acknowledgedEndNumber = maxOf(acknowledgedEndNumber, storedEnd)
         while (pendingEnds.isNotEmpty() && pendingEnds.first().first <= acknowledgedEndNumber) pendingEnds.removeFirst()
         renewed.ends.filter { it.number > processedEndNumber }.forEach { end ->
@@ -190,7 +188,7 @@
             listener.onGone(it, "not listed by the worker")
         }
         present.values.forEach { entry ->
-            runs[entry.id]?.let { updateRun(it, entry, sinceListedMs) } ?: listener.onUnknownRun(this, entry)
+            runs[entry.id]?.observe(entry, sinceListedMs, clock.monotonicMs()) ?: listener.onUnknownRun(this, entry)
         }
         if (!isClaimed) {
             isClaimed = true
@@ -207,31 +205,6 @@
         awaitStored()
     }
 
-    private fun updateRun(
-        run: Run,
-        entry: PresentRun,
-        sinceListedMs: Long,
-    ) {
-        // After a longer gap the worker, its path or this process stood still, and so may have the run.
-        if (entry.percent > run.percent || sinceListedMs > settings.pollWaitMs + MAX_LISTING_DELAY_MS) {
-            run.unchangedMs = 0
-            run.suspectedAtMs = -1
-        } else {
-            run.unchangedMs += sinceListedMs
-        }
-        val now = clock.monotonicMs()
-        if (run.firstPercentAtMs == run.startedAtMs) {
-            run.firstPercentAtMs = now
-            run.firstPercent = entry.percent
-        }
-        if (entry.percent > run.percent) run.progressedAtMs = now
-        run.percent = entry.percent
-        if (entry.checkpoint.isNotEmpty() && entry.checkpoint != run.checkpoint) {
-            run.checkpoint = entry.checkpoint
-            run.checkpointedAtMs = now
-        }
-    }
-
     /** Waits for pending ends to be stored: a renewal that leaves listed ends unacknowledged would return at once. */
     private suspend fun awaitStored() {
         val lastSequence = pendingEnds.lastOrNull()?.second ?: return
@@ -246,14 +219,31 @@
             unreachableSinceMs = now
             log.record(SchedulerEvent.WORKER_LOST, id, "reason" to result.reason, "runs" to runs.size)
         }
-        if (runs.isNotEmpty() && now > leasesExpiredAtMs()) endIncarnation("lease has lapsed")
+        if (runs.isNotEmpty() && now > workerClock.leasesExpiredAtMs()) {
+            lapsedRuns = lostRuns()
+            endIncarnation("lease has lapsed")
+        }
         delay(if (now - unreachableSinceMs < QUICK_RETRY_MS) RETRY_MS else SLOW_RETRY_MS)
     }
 
-    /** Returns the local time by which the worker's clock has certainly passed every deadline it was given, in ms. */
-    private fun leasesExpiredAtMs(): Long =
-        workerClockReadAtMs + ((highestDeadlineMs - workerClockMs).coerceAtLeast(0) / settings.minClockRate).toLong() +
-            EXPIRY_MARGIN_MS
+    /** Ends the runs after another incarnation than [incarnationMs] has answered a call at the worker's address. */
+    fun onOtherLife(incarnationMs: Long) {
+        if (incarnationMs != listed.incarnationMs) return
+        reportCrash()
+        endIncarnation("another life answers")
+    }
+
+    /** Reports the crash of the present incarnation. A worker that drains ends by itself. */
+    private fun reportCrash() {
+        val lost = lostRuns() + if (awaitsNextLife) lapsedRuns else emptyList()
+        lapsedRuns = emptyList()
+        if (!listed.isDraining) listener.onCrashed(this, lost)
+    }
+
+    private fun lostRuns(): List<LostRun> =
+        runs.values.filter { !it.isOrphaned }.map { run ->
+            LostRun(run.task, run.id.attempt, run.beganMs?.let { maxOf(0, workerClock.readAtMs - it) } ?: 0)
+        }
 
     private fun beginNewIncarnation(entry: ListedWorker) {
         log.record(
@@ -263,6 +253,7 @@
             "earlier" to listed.incarnationMs,
             "runs" to runs.size,
         )
+        reportCrash()
         listed = entry
         resetIncarnation()
         listener.onNewIncarnation(this)
@@ -274,7 +265,7 @@
         processedEndNumber = 0
         acknowledgedEndNumber = 0
         pendingEnds.clear()
-        highestDeadlineMs = 0
+        workerClock.forgetDeadlines()
     }
 
     /** Ends all runs, because this incarnation of the worker is over or its leases have expired. */
@@ -314,7 +305,7 @@
         // Leases are still extended at this period while the store cannot store run ends.
         const val MAX_STORE_WAIT_MS = 1_000L
 
-        // Longest time in flight of an order after its deadline was computed.
-        const val EXPIRY_MARGIN_MS = 300L
+        // A worker that crashes is back after some seconds; a later life shows nothing about the runs that have lapsed.
+        const val NEXT_LIFE_WAIT_MS = 15_000L
     }
 }
