--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
@@ -60,5 +60,7 @@
     SERVICE_USAGE(8417),
     QUEUE_USAGE(8418),
     WORKER_CRASHED(8419),
+    TASK_SUSPECTED(8420),
+    TASK_GIVEN_UP(8421),
     INTERNAL_ERROR(8901),
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobLimits.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobLimits.kt
@@ -38,7 +38,8 @@
      */
     public fun begunTasksOf(spec: JobSpec): Int {
         val fixedBytes =
-            HEAD_BYTES + spec.occurrences.toLong() * FINISHED_OCCURRENCE_BYTES +
+            HEAD_BYTES + MAX_TRACKED_TASKS * TRACKED_TASK_BYTES +
+                spec.occurrences.toLong() * FINISHED_OCCURRENCE_BYTES +
                 openOccurrencesOf(spec) * doneTasksBytesOf(spec)
         val checkpointBytes = if (spec.steps.any { it.savesProgress }) CHECKPOINT_BYTES else 0
         val taskBytes = START_BYTES + FAILURES_BYTES + checkpointBytes
@@ -75,27 +76,31 @@
             else -> null
         }
 
-    private companion object {
-        const val MAX_STEPS = 256
+    public companion object {
+        /** Most tasks of a job for which crashes of their workers, and the incarnation of their worker, are stored. */
+        public const val MAX_TRACKED_TASKS: Int = 40
+
+        private const val MAX_STEPS = 256
 
         // The accelerators of all open jobs are added up in an Int.
-        const val MAX_ACCELERATORS = 100_000
-        const val MAX_ESTIMATE_MS = 30L * 24 * 3_600 * 1_000
+        private const val MAX_ACCELERATORS = 100_000
+        private const val MAX_ESTIMATE_MS = 30L * 24 * 3_600 * 1_000
 
         // Start of the year 2200; times beyond it are mistakes of the unit.
-        const val MAX_TIME_MS = 7_258_118_400_000
+        private const val MAX_TIME_MS = 7_258_118_400_000
 
         // Occurrences that are open beside each other may take half of the row with their done tasks.
-        const val OPEN_OCCURRENCES_DIVISOR = 2L
+        private const val OPEN_OCCURRENCES_DIVISOR = 2L
 
         // Largest encoded sizes in a progress row, for ids of workers of up to 24 characters, attempts of up to 3 digits
         // and checkpoints of up to 32 characters.
-        const val HEAD_BYTES = 256L
-        const val STEP_BYTES = 128L
-        const val DONE_TASK_BYTES = 6L
-        const val START_BYTES = 63L
-        const val FAILURES_BYTES = 16L
-        const val CHECKPOINT_BYTES = 44L
-        const val FINISHED_OCCURRENCE_BYTES = 48L
+        private const val HEAD_BYTES = 256L
+        private const val STEP_BYTES = 128L
+        private const val DONE_TASK_BYTES = 6L
+        private const val START_BYTES = 63L
+        private const val FAILURES_BYTES = 16L
+        private const val CHECKPOINT_BYTES = 44L
+        private const val TRACKED_TASK_BYTES = 60L
+        private const val FINISHED_OCCURRENCE_BYTES = 48L
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobProgress.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobProgress.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.scheduler.model
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** State of a job as reported to callers. */
@@ -16,11 +17,17 @@
     public val isEnded: Boolean get() = this == COMPLETED || this == FAILED || this == CANCELLED
 }
 
-/** Latest recorded start of a task. [worker] is empty once the run is known to have ended. */
+/**
+ * Latest recorded start of a task.
+ *
+ * @property worker id of the worker, empty once the run is known to have ended.
+ * @property incarnationMs incarnation of the worker, or 0 if it is not recorded.
+ */
 @Serializable
 public data class StartedRun(
     val attempt: Int,
     val worker: String = "",
+    @SerialName("born") val incarnationMs: Long = 0,
 )
 
 /**
@@ -30,6 +37,9 @@
  * @property done indexes of the tasks that are done.
  * @property failures numbers of the failed attempts by task index; numbers instead of a count, so that an end which a
  *   worker lists twice is counted once.
+ * @property crashes numbers of the attempts under which a worker has crashed, by task index; not those in
+ *   [certainCrashes].
+ * @property certainCrashes numbers of the attempts that have certainly caused their worker's crash, if a run has.
  * @property checkpoints latest known checkpoint by task index.
  * @property started latest start by task index; it is stored before the start order is sent.
  */
@@ -42,6 +52,8 @@
     val failures: Map<Int, List<Int>> = emptyMap(),
     val checkpoints: Map<Int, String> = emptyMap(),
     val started: Map<Int, StartedRun> = emptyMap(),
+    val crashes: Map<Int, List<Int>> = emptyMap(),
+    val certainCrashes: Map<Int, List<Int>> = emptyMap(),
 )
 
 /** Progress of a job, stored by the owner. [endedMs] is Unix ms, 0 while the job has not ended. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -26,6 +26,9 @@
     private val directory = dependencies.directory()
     private var isExpiryReported = false
 
+    /** Whether the directory has been read in this term; workers that appear later have just begun. */
+    private var hasListing = false
+
     val sessions: List<WorkerSession> get() = entriesById.values.map { it.session }
 
     operator fun get(id: String): WorkerSession? = entriesById[id]?.session
@@ -57,10 +60,12 @@
     }
 
     private fun apply(listed: Map<String, ListedWorker>) {
+        val isFirst = !hasListing
+        hasListing = true
         listed.values.forEach { worker ->
             val session = entriesById[worker.id]?.session
             if (session == null) {
-                open(worker)
+                open(worker, isNew = !isFirst)
             } else {
                 if (worker.isDraining && !session.listed.isDraining) {
                     dependencies.log.record(SchedulerEvent.WORKER_DRAINING, worker.id, "runs" to session.runs.size)
@@ -94,7 +99,10 @@
         }
     }
 
-    private fun open(worker: ListedWorker) {
+    private fun open(
+        worker: ListedWorker,
+        isNew: Boolean,
+    ) {
         val session =
             WorkerSession(
                 worker,
@@ -104,6 +112,7 @@
                 dependencies.settings,
                 dependencies.log,
                 runs,
+                isNew,
             )
         entriesById[worker.id] = Entry(session, scope.launch { session.run() })
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -17,8 +17,12 @@
 ) {
     var isDone = false
     val failedAttempts = sortedSetOf<Int>()
+    val crashes = TaskCrashes(step.spec.isLasting)
     var checkpoint = ""
 
+    /** What runs that start and end together share: the step of a gang, or the task itself. */
+    val group: Any get() = if (step.spec.isGang) step else this
+
     /** Highest attempt that is known to have been ordered. */
     var lastAttempt = 0
     var run: Run? = null
@@ -29,6 +33,9 @@
      */
     var unresolvedWorker = ""
 
+    /** Incarnation of [unresolvedWorker] on which the run was started, or 0 if it is not known. */
+    var unresolvedIncarnationMs = 0L
+
     /** Monotonic time before which the task is not started again. */
     var notBeforeMs = 0L
 }
@@ -166,11 +173,30 @@
 
     fun toProgress(): JobProgress {
         if (state.isEnded) return JobProgress(state, endedMs = endedMs, workspace = accepted.spec.workspace)
+        val tracked = trackedTasks()
         val summaries = finishedOccurrences.sorted().map { StepProgress(it, WHOLE_OCCURRENCE, isDone = true) }
-        return JobProgress(state, summaries + openSteps.mapNotNull(::progressOf), workspace = accepted.spec.workspace)
+        return JobProgress(
+            state,
+            summaries +
+                openSteps.mapNotNull {
+                    progressOf(it, tracked)
+                },
+            workspace = accepted.spec.workspace,
+        )
+    }
+
+    /** Returns the tasks whose crashes are stored, within the row's size: those with the most crashes first. */
+    private fun trackedTasks(): Set<Task> {
+        val begun = openSteps.flatMap { step -> step.tasks.filter { it.lastAttempt > 0 && !it.isDone } }
+        val chosen =
+            if (begun.size <= JobLimits.MAX_TRACKED_TASKS) begun else begun.sortedByDescending { it.crashes.count }
+        return chosen.take(JobLimits.MAX_TRACKED_TASKS).toSet()
     }
 
-    private fun progressOf(step: StepRun): StepProgress? {
+    private fun progressOf(
+        step: StepRun,
+        tracked: Set<Task>,
+    ): StepProgress? {
         if (step.isDone) return StepProgress(step.occurrence, step.index, isDone = true)
         val done = step.tasks.filter { it.isDone }.map { it.id.index }
         val failures =
@@ -183,12 +209,44 @@
                 it.id.index to
                     it.checkpoint
             }
-        val started = step.tasks.filter { it.lastAttempt > 0 && !it.isDone }.associate { it.id.index to startOf(it) }
+        val started =
+            step.tasks.filter { it.lastAttempt > 0 && !it.isDone }.associate {
+                it.id.index to
+                    startOf(it, it in tracked)
+            }
+        val crashed = step.tasks.filter { it in tracked && it.crashes.count > 0 }
         if (done.isEmpty() && failures.isEmpty() && checkpoints.isEmpty() && started.isEmpty()) return null
-        return StepProgress(step.occurrence, step.index, false, done, failures, checkpoints, started)
+        return StepProgress(
+            step.occurrence,
+            step.index,
+            false,
+            done,
+            failures,
+            checkpoints,
+            started,
+            attemptsByIndex(crashed) { it.crashes.sharedAttempts },
+            attemptsByIndex(crashed) { it.crashes.certainAttempts },
+        )
     }
 
-    private fun startOf(task: Task) = StartedRun(task.lastAttempt, task.run?.session?.id ?: task.unresolvedWorker)
+    private fun attemptsByIndex(
+        tasks: List<Task>,
+        attemptsOf: (Task) -> Set<Int>,
+    ): Map<Int, List<Int>> =
+        tasks.filter { attemptsOf(it).isNotEmpty() }.associate { it.id.index to attemptsOf(it).toList() }
+
+    private fun startOf(
+        task: Task,
+        isTracked: Boolean,
+    ): StartedRun {
+        val run = task.run
+        val incarnationMs = if (run == null) task.unresolvedIncarnationMs else run.incarnationMs
+        return StartedRun(
+            task.lastAttempt,
+            run?.session?.id ?: task.unresolvedWorker,
+            if (isTracked) incarnationMs else 0,
+        )
+    }
 
     private fun restore(stored: StepProgress) {
         if (stored.step == WHOLE_OCCURRENCE) {
@@ -199,10 +257,15 @@
         step.tasks.forEach { task ->
             if (stored.isDone || task.id.index in stored.done) step.markDone(task)
             task.failedAttempts += stored.failures[task.id.index].orEmpty()
+            task.crashes.sharedAttempts += stored.crashes[task.id.index].orEmpty()
+            task.crashes.certainAttempts += stored.certainCrashes[task.id.index].orEmpty()
             task.checkpoint = stored.checkpoints[task.id.index] ?: ""
             val started = stored.started[task.id.index]
             task.lastAttempt = maxOf(started?.attempt ?: 0, task.failedAttempts.lastOrNull() ?: 0)
-            if (!task.isDone) task.unresolvedWorker = started?.worker.orEmpty()
+            if (!task.isDone) {
+                task.unresolvedWorker = started?.worker.orEmpty()
+                task.unresolvedIncarnationMs = started?.incarnationMs ?: 0
+            }
         }
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -61,17 +61,9 @@
             val evacuation = Evacuation(clock, orders, dependencies.settings.maxStopMs)
             val fleet = Fleet(dependencies, ownership, runs, this, evacuation)
             val tickets = TicketProvider(dependencies, this, replan)
+            val demands = Demands(dependencies, jobRegistry, fleet, tickets, runs::stopIncompleteGang)
             val placement =
-                Placement(
-                    dependencies,
-                    ownership,
-                    jobRegistry,
-                    fleet,
-                    orders,
-                    monitor.speeds,
-                    tickets,
-                    runs::stopIncompleteGang,
-                )
+                Placement(dependencies, ownership, jobRegistry, fleet, orders, monitor.speeds, tickets, demands)
             writer.onStored = { fleet.wakeSessions() }
             writer.onRejected = runs::onRejected
             val jobsVersion = load() ?: return@coroutineScope
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -1,18 +1,18 @@
 package org.orioleferry.scheduler.owner
 
 import org.orioleferry.scheduler.SchedulerEvent
-import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.placement.Demand
 import org.orioleferry.scheduler.placement.Plan
 import org.orioleferry.scheduler.placement.Planner
 import org.orioleferry.scheduler.placement.PlannerSettings
-import org.orioleferry.scheduler.placement.QueuePosition
+import org.orioleferry.scheduler.placement.STABLE_WORKER_MS
 import org.orioleferry.scheduler.placement.ServiceRank
+import org.orioleferry.scheduler.placement.TRIAL_MS
+import org.orioleferry.scheduler.placement.TrialPlacement
 import org.orioleferry.scheduler.placement.Victim
 import org.orioleferry.scheduler.placement.WorkerResources
 import org.orioleferry.scheduler.placement.WorkerSpeedEstimator
 import org.orioleferry.scheduler.placement.countedAccelerators
-import org.orioleferry.scheduler.placement.queuePositionOf
 
 /** Runs [Planner] passes over the owner's state and executes the resulting plans. */
 internal class Placement(
@@ -23,7 +23,7 @@
     private val orders: RunOrders,
     private val speeds: WorkerSpeedEstimator,
     private val tickets: TicketProvider,
-    private val stopIncompleteGang: (StepRun) -> Unit,
+    private val demands: Demands,
 ) {
     private val planner = Planner(PlannerSettings(stopDurationMs = dependencies.settings.maxStopMs))
     private val urgentReserve = UrgentReserve(dependencies.settings.maxStopMs)
@@ -44,16 +44,19 @@
         val manifest = dependencies.manifest() ?: return
         nextDueMs = Long.MAX_VALUE
         val ranks = Ranks(manifest, jobRegistry.activeJobs)
-        val demands =
+        val waiting =
             jobRegistry.activeJobs.toList().flatMap { job ->
-                jobRegistry.guarded(job.id) { dueSteps(job).mapNotNull { demandOf(it, manifest, ranks) } }.orEmpty()
+                jobRegistry.guarded(job.id) { dueSteps(job).flatMap { demands.of(it, manifest, ranks) } }.orEmpty()
             }
-        hasWaiting = demands.isNotEmpty()
-        if (demands.isEmpty()) return
-        val plan = planOf(demands, ranks) ?: return
-        plan.placed.forEach { start(it.demand.key, it.workers) }
+        hasWaiting = waiting.isNotEmpty()
+        if (waiting.isEmpty()) return
+        val plan = planOf(waiting, ranks) ?: return
+        plan.placed.forEach { (demand, workers) ->
+            if (demand.trial == TrialPlacement.NONE) demand.key.step.reserved = emptyList()
+            start(demand.key, workers)
+        }
         plan.preemptions.forEach { preemption ->
-            val step = preemption.demand.key
+            val step = preemption.demand.key.step
             step.reserved = preemption.workers.mapNotNull { fleet[it] }
             step.reservedAtMs = clock.monotonicMs()
             dependencies.log.record(
@@ -64,14 +67,14 @@
             )
             preemption.victims.forEach { victim -> victim.forEach { orders.stop(it, "preempted by ${step.job.id}") } }
         }
-        usageLog.record(fleet.sessions, demands.map { it.key }, plan)
+        usageLog.record(fleet.sessions, waiting.map { it.key.step }.distinct(), plan)
     }
 
     /** Returns the plan for [demands]. If the planner throws, sets aside the jobs for which it does and returns null. */
     private fun planOf(
-        demands: List<Demand<StepRun>>,
+        demands: List<Demand<WaitingTasks>>,
         ranks: Ranks,
-    ): Plan<StepRun, List<Run>>? {
+    ): Plan<WaitingTasks, List<Run>>? {
         val workers = workerResources()
         val victims = victims(ranks)
         val reserved = urgentReserve.reservedAccelerators(fleet.sessions, clock.monotonicMs())
@@ -81,7 +84,7 @@
         } catch (e: RuntimeException) {
             dependencies.log.record(SchedulerEvent.INTERNAL_ERROR, "planner", "error" to e.stackTraceToString())
             demands.forEach { demand ->
-                jobRegistry.guarded(demand.key.job.id) {
+                jobRegistry.guarded(demand.key.step.job.id) {
                     planner.plan(workers, listOf(demand), victims, reserved, inUse)
                 }
             }
@@ -99,7 +102,7 @@
             steps.filter { step ->
                 !step.isDone &&
                     step.spec.after.all { steps[it].isDone } &&
-                    step.tasks.any { it.isWaiting() }
+                    step.tasks.any(demands::isWaiting)
             }
         }
     }
@@ -113,87 +116,6 @@
         return open.filter { schedule.dueMs(it) <= now }.take(job.maxOpenOccurrences)
     }
 
-    private fun Task.isWaiting(): Boolean =
-        !isDone && run == null && unresolvedWorker.isEmpty() && clock.monotonicMs() >= notBeforeMs
-
-    private fun demandOf(
-        step: StepRun,
-        manifest: Manifest,
-        ranks: Ranks,
-    ): Demand<StepRun>? {
-        val now = clock.monotonicMs()
-        if (step.readySinceMs < 0) step.readySinceMs = now
-        val waiting = step.job.startable(step.tasks.filter { it.isWaiting() })
-        if (waiting.isEmpty()) return null
-        val spec = step.spec
-        // A gang is restarted only after all runs of its earlier attempt have ended.
-        if (spec.isGang && waiting.size < spec.count) {
-            if (step.tasks.none { it.unresolvedWorker.isNotEmpty() }) stopIncompleteGang(step)
-            return null
-        }
-        val queue = manifest.queue(step.job.accepted.spec.queue)
-        val isReserved =
-            step.reserved.size == waiting.size &&
-                now - step.reservedAtMs < RESERVATION_MS &&
-                step.reserved.all { it.isOpen }
-        if (!isReserved) step.reserved = emptyList()
-        return Demand(
-            key = step,
-            service = queue?.service ?: step.job.accepted.spec.service,
-            rank = ranks.of(step.job),
-            position = positionOf(step),
-            need = step.countedNeed,
-            width = waiting.size,
-            isGang = spec.isGang,
-            sameRack = spec.sameRack,
-            label = spec.label,
-            dataRack = spec.dataRack,
-            maxPerWorker = spec.maxPerWorker,
-            tasksByWorker =
-                step.tasks
-                    .mapNotNull { it.run?.session?.id }
-                    .groupingBy { it }
-                    .eachCount(),
-            waitedMs = now - step.readySinceMs,
-            estimateMs = spec.estimateMs,
-            hasLatencyTarget = spec.latencyTargetMs > 0,
-            usesSpareCpu = spec.usesSpareCpu,
-            reserved = step.reserved.map { it.id },
-            allowed = queue?.advice?.let { latency -> tickets.allowedWorkers(step, latency, usableOf(queue.service)) },
-        )
-    }
-
-    private fun usableOf(service: String): List<WorkerSession> =
-        fleet.sessions.filter { it.listed.service == service && fleet.isUsable(it) }
-
-    private fun positionOf(step: StepRun): QueuePosition {
-        val job = step.job
-        val spec = job.accepted.spec
-        val beginMs = spec.schedule?.dueMs(step.occurrence) ?: job.accepted.acceptedMs
-        val objectiveMs = jobRegistry.objectiveMsOf(job)
-        return queuePositionOf(
-            nowMs = clock.wallMs(),
-            dueMs = beginMs + objectiveMs,
-            valueExpiryMs = beginMs + LATE_FACTOR * objectiveMs,
-            remainingMs = spec.chainFromMs(step.index),
-            waitingShare = waitingShareOf(job.steps(step.occurrence)),
-        )
-    }
-
-    /** Returns the share of the work of [steps], all steps of one occurrence, that is neither done nor running. */
-    private fun waitingShareOf(steps: List<StepRun>): Double {
-        val waiting = steps.sumOf { step -> workOf(step) * step.tasks.count { !it.isDone && it.run == null } }
-        val total = steps.sumOf { workOf(it) * it.spec.count }
-        return waiting / total
-    }
-
-    /** Returns the estimated work of one task of [step] in accelerator-equivalent ms, at least 1. */
-    private fun workOf(step: StepRun): Double {
-        val need = step.spec.need
-        return maxOf(1, step.spec.estimateMs).toDouble() *
-            (need.cpuMillis + need.accelerators.toDouble() * CORES_PER_ACCELERATOR * MILLIS_PER_CORE + 1)
-    }
-
     private fun workerResources(): List<WorkerResources> =
         fleet.sessions.filter { fleet.isUsable(it) }.map { session ->
             WorkerResources(
@@ -208,6 +130,9 @@
                 isTroubled = speeds.isTroubled(session.id, clock.monotonicMs()),
                 hasLatencyTarget = session.runs.values.any { it.task.step.spec.latencyTargetMs > 0 },
                 usesSpareCpu = session.runs.values.any { it.task.step.spec.usesSpareCpu },
+                runCount = session.runs.size,
+                isInTrial = session.runs.values.any { it.isTrial && it.provenMs(clock.monotonicMs()) < TRIAL_MS },
+                isNew = session.ageMs() < STABLE_WORKER_MS,
             )
         }
 
@@ -247,17 +172,17 @@
     }
 
     private fun start(
-        step: StepRun,
+        placed: WaitingTasks,
         workers: List<String>,
     ) {
         if (!ownership.canDecide) return
-        step.reserved = emptyList()
-        val waiting = step.job.startable(step.tasks.filter { it.isWaiting() })
+        val step = placed.step
+        val isGangTrial = step.spec.isGang && placed.tasks.any { it.crashes.needsTrial }
         val isUrgent = dependencies.manifest()?.queue(step.job.accepted.spec.queue)?.priority == 0
         val racks = workers.mapNotNullTo(HashSet()) { fleet[it]?.listed?.rack }
         val isAcrossRacks = step.spec.sameRack && racks.size > 1
         val gangAttempt = if (step.spec.isGang) step.tasks.maxOf { orders.nextAttempt(it) } else 0
-        waiting.zip(workers).forEach { (task, worker) ->
+        placed.tasks.filter(demands::isWaiting).zip(workers).forEach { (task, worker) ->
             val session = fleet[worker] ?: return@forEach
             val isRemoteFromData = step.spec.dataRack.isNotEmpty() && step.spec.dataRack != session.listed.rack
             val attempt = if (step.spec.isGang) gangAttempt else orders.nextAttempt(task)
@@ -268,6 +193,7 @@
                 isUrgent,
                 isNearData = !isAcrossRacks && !isRemoteFromData,
                 ticket = tickets.ticketOf(step, session),
+                isTrial = isGangTrial || task.crashes.needsTrial,
             )
         }
     }
@@ -277,15 +203,8 @@
         const val WAITING_PASS_PERIOD_MS = 250L
         const val IDLE_PASS_PERIOD_MS = 5_000L
 
-        // Preempted runs stop within 0.9 s; an unused reservation expires soon after.
-        const val RESERVATION_MS = 2_000L
-
         // Weight of an accelerator in the comparison of work.
         const val CORES_PER_ACCELERATOR = 8
-        const val MILLIS_PER_CORE = 1_000
-
-        // A job that ends after three times its objective has no value.
-        const val LATE_FACTOR = 3
 
         // Approximate cost of a restart in addition to the lost work.
         const val RESTART_COST_MS = 600L
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
@@ -23,6 +23,12 @@
 ) {
     val queue: String get() = task.step.job.accepted.spec.queue
     val estimateMs: Long get() = task.step.spec.estimateMs
+
+    /** Incarnation of the worker for which the run was ordered. */
+    val incarnationMs: Long = session.listed.incarnationMs
+
+    /** Whether the run is the trial of a suspect, beside which nothing else is started until it has passed. */
+    var isTrial = false
     var checkpoint: String = ""
     var ticket: String = ""
     var percent: Double = 0.0
@@ -110,6 +116,9 @@
         }
     }
 
+    /** Returns the time in ms for which the run is known to have worked at [nowMs]. */
+    fun provenMs(nowMs: Long): Long = beganMs?.let { maxOf(0, nowMs - it) } ?: 0
+
     private companion object {
         const val PERCENT = 100
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.launch
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.placement.TRIAL_MS
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunEndRecord
 import org.orioleferry.scheduler.workers.RunEnding
@@ -22,6 +23,7 @@
 ) : SessionListener {
     private val clock = dependencies.clock
     private val log = dependencies.log
+    private val crashControl = CrashControl(clock, log, jobRegistry, writer, ::stopAll)
     override val storedSequence: Long get() = writer.storedSequence
 
     override fun onEnd(
@@ -37,6 +39,7 @@
         )
         session.runs[end.id]?.let { run ->
             if (end.ending == RunEnding.DONE) progressMonitor.recordCompletion(run)
+            if (run.provenMs(clock.monotonicMs()) >= TRIAL_MS) run.task.crashes.hasPassedTrial = true
             orders.detach(run)
         }
         replan()
@@ -198,13 +201,7 @@
     override fun onCrashed(
         session: WorkerSession,
         lost: List<LostRun>,
-    ) {
-        log.record(
-            SchedulerEvent.WORKER_CRASHED,
-            session.id,
-            "runs" to lost.joinToString(" ") { "${it.id.toLogName()}:${it.provenMs}" },
-        )
-    }
+    ) = crashControl.onCrashed(session, lost)
 
     override fun onNewIncarnation(session: WorkerSession) {
         session.runs.values
@@ -212,7 +209,10 @@
             .forEach(orders::stopInNewIncarnation)
     }
 
-    override fun onClaimed(session: WorkerSession) = onWorkerSettled(session.id)
+    override fun onClaimed(session: WorkerSession) {
+        crashControl.onClaimed(session)
+        onWorkerSettled(session.id)
+    }
 
     override fun onGone(
         run: Run,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -27,7 +27,7 @@
 
     /**
      * Starts [task] on [session] as the given attempt and allocates its resources at once. [isNearData] tells whether
-     * the task runs at full speed there.
+     * the task runs at full speed there, [isTrial] that nothing else may start beside it for a while.
      */
     fun start(
         task: Task,
@@ -36,11 +36,13 @@
         isUrgent: Boolean,
         isNearData: Boolean,
         ticket: String,
+        isTrial: Boolean = false,
     ) {
         val run = Run(RunId(task.id, attempt), task, session, RunState.STARTING, clock.monotonicMs())
         run.checkpoint = task.checkpoint
         run.ticket = ticket
         run.isUrgent = isUrgent
+        run.isTrial = isTrial
         run.isSpeedSample = isNearData && task.checkpoint.isEmpty() && !task.step.spec.isLasting
         attach(run)
         task.lastAttempt = attempt
--- /dev/null
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/TaskCrashes.kt
@@ -0,0 +1,55 @@
+package org.orioleferry.scheduler.owner
+
+import org.orioleferry.scheduler.placement.Suspicion
+import org.orioleferry.scheduler.placement.suspicionOf
+
+/**
+ * Crashes of workers under one task, by the number of the attempt that ran there, so that a crash which is seen twice
+ * counts once.
+ */
+internal class TaskCrashes(
+    private val isLasting: Boolean,
+) {
+    /** Attempts under which a worker has crashed for which another run may be the cause. */
+    val sharedAttempts = sortedSetOf<Int>()
+
+    /** Attempts under which a worker has crashed while no other run was a candidate. */
+    val certainAttempts = sortedSetOf<Int>()
+    val count: Int get() = sharedAttempts.size + certainAttempts.size
+
+    /** Time that the run of the last crash had worked before, in ms, or null if not known. */
+    private var lastProvenMs: Long? = null
+    val suspicion: Suspicion get() = suspicionOf(count, certainAttempts.size, lastProvenMs)
+
+    /** Whether a run since the last crash has worked for as long as a trial takes. */
+    var hasPassedTrial = false
+
+    /** Whether the next run of the task is a trial. */
+    val needsTrial: Boolean get() = suspicion == Suspicion.SUSPECT && !hasPassedTrial
+
+    /** Monotonic time since which the task waits for its trial, or null if it was not seen to wait. */
+    var waitsSinceMs: Long? = null
+
+    /** Counts the crash under [lost] and returns whether it is new and counts. */
+    fun add(
+        lost: LostRun,
+        isCertain: Boolean,
+    ): Boolean {
+        if (lost.attempt in sharedAttempts || lost.attempt in certainAttempts) return false
+        // A lasting task meets crashes of other causes as time passes.
+        if (isLasting && lost.provenMs >= LASTING_PROVEN_MS) {
+            sharedAttempts.clear()
+            certainAttempts.clear()
+            return false
+        }
+        (if (isCertain) certainAttempts else sharedAttempts).add(lost.attempt)
+        lastProvenMs = lost.provenMs
+        hasPassedTrial = false
+        return true
+    }
+
+    private companion object {
+        // Time of work after which a run of a lasting task shows that the task does not crash workers.
+        const val LASTING_PROVEN_MS = 30_000L
+    }
+}
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UsageLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UsageLog.kt
@@ -21,7 +21,7 @@
     fun record(
         sessions: List<WorkerSession>,
         waitingSteps: List<StepRun>,
-        plan: Plan<StepRun, List<Run>>,
+        plan: Plan<WaitingTasks, List<Run>>,
     ) {
         if (clock.monotonicMs() - loggedAtMs < PERIOD_MS) return
         loggedAtMs = clock.monotonicMs()
@@ -32,7 +32,7 @@
     private fun recordService(
         service: String,
         workers: List<WorkerSession>,
-        plan: Plan<StepRun, List<Run>>,
+        plan: Plan<WaitingTasks, List<Run>>,
     ) {
         val withheld = plan.withheld[service]
         log.record(
@@ -49,10 +49,10 @@
     private fun recordQueues(
         sessions: List<WorkerSession>,
         waitingSteps: List<StepRun>,
-        plan: Plan<StepRun, List<Run>>,
+        plan: Plan<WaitingTasks, List<Run>>,
     ) {
         val runs = sessions.flatMap { it.runs.values }.groupBy { it.queue }
-        val placed = plan.placed.associate { it.demand.key to it.workers.size }
+        val placed = plan.placed.mapTo(HashSet()) { it.demand.key.step }
         val waiting = waitingSteps.groupBy { it.job.accepted.spec.queue }
         (runs.keys + waiting.keys).forEach { queue ->
             val steps = waiting[queue].orEmpty()
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -29,6 +29,7 @@
     private val settings: SchedulerSettings,
     private val log: DecisionLog,
     private val listener: SessionListener,
+    isNew: Boolean = false,
 ) {
     var listed: ListedWorker = listed
         private set
@@ -57,6 +58,9 @@
     /** Unacknowledged ends: their number at the worker, and the sequence number of the change to be stored first. */
     private val pendingEnds = ArrayDeque<Pair<Long, Long>>()
 
+    /** Monotonic time at which the present incarnation was seen to begin, or null if it was there before. */
+    private var bornAtMs: Long? = if (isNew) clock.monotonicMs() else null
+
     private val workerClock = WorkerClock(clock, settings)
 
     /** Runs whose leases expired while the worker did not answer; it may have crashed before. */
@@ -76,6 +80,12 @@
         wakeUp.trySend(Unit)
     }
 
+    /** Returns the time in ms since the present incarnation was seen to begin; [Long.MAX_VALUE] if it was there before. */
+    fun ageMs(): Long {
+        val untilMs = if (unreachableSinceMs >= 0) unreachableSinceMs else clock.monotonicMs()
+        return bornAtMs?.let { untilMs - it } ?: Long.MAX_VALUE
+    }
+
     /** Returns the shortest time in ms until the worker leaves, or null if it is not known to leave. */
     fun leavesInMs(): Long? {
         val leavesAtMs = listed.leavesAtMs?.takeIf { listed.isDraining && isClaimed } ?: return null
@@ -237,12 +247,13 @@
     private fun reportCrash() {
         val lost = lostRuns() + if (awaitsNextLife) lapsedRuns else emptyList()
         lapsedRuns = emptyList()
+        runs.values.forEach { it.isOrphaned = true }
         if (!listed.isDraining) listener.onCrashed(this, lost)
     }
 
     private fun lostRuns(): List<LostRun> =
         runs.values.filter { !it.isOrphaned }.map { run ->
-            LostRun(run.task, run.id.attempt, run.beganMs?.let { maxOf(0, workerClock.readAtMs - it) } ?: 0)
+            LostRun(run.task, run.id.attempt, run.provenMs(workerClock.readAtMs))
         }
 
     private fun beginNewIncarnation(entry: ListedWorker) {
@@ -255,6 +266,7 @@
         )
         reportCrash()
         listed = entry
+        bornAtMs = clock.monotonicMs()
         resetIncarnation()
         listener.onNewIncarnation(this)
         wake()
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -23,7 +23,7 @@
     fun <K> canUseReserved(demand: Demand<K>): Boolean =
         demand.reserved.groupingBy { it }.eachCount().all { (id, count) ->
             val worker = workersById[id] ?: return false
-            worker.free.countFitting(demand.need, count) >= count
+            !worker.isInTrial && worker.free.countFitting(demand.need, count) >= count
         }
 
     /**
@@ -34,7 +34,11 @@
         demand: Demand<K>,
         workers: List<String>,
     ) {
-        workers.forEach { id -> workersById[id]?.let { it.free -= demand.need } }
+        workers.mapNotNull { workersById[it] }.forEach { worker ->
+            worker.free -= demand.need
+            worker.runCount++
+            worker.isInTrial = worker.isInTrial || demand.trial != TrialPlacement.NONE
+        }
     }
 
     /**
@@ -189,6 +193,8 @@
             compareBy<WorkerResources>(
                 { it.consecutiveFailures },
                 { it.isTroubled },
+                { demand.trial != TrialPlacement.NONE && it.isNew },
+                { if (demand.trial == TrialPlacement.NONE) 0 else it.runCount },
                 { speedTier(demand, it) },
                 { freeCoreMillis(demand, it) },
                 { it.id },
@@ -266,6 +272,8 @@
     worker: WorkerResources,
 ): Boolean =
     worker.service == demand.service &&
+        !worker.isInTrial &&
+        (demand.trial != TrialPlacement.EMPTY_WORKER || worker.runCount == 0) &&
         (demand.allowed == null || worker.id in demand.allowed) &&
         (demand.label.isEmpty() || demand.label in worker.labels) &&
         !(demand.hasLatencyTarget && worker.usesSpareCpu) &&
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -11,6 +11,9 @@
  * @property isTroubled whether tasks currently take several times as long on this worker.
  * @property hasLatencyTarget whether tasks with a latency target run on this worker.
  * @property usesSpareCpu whether tasks that use spare processor time run on this worker.
+ * @property runCount number of runs on this worker.
+ * @property isInTrial whether a suspect is on trial on this worker, so that nothing else starts there.
+ * @property isNew whether the worker began a short time ago and may be unstable.
  */
 internal class WorkerResources(
     val id: String,
@@ -24,6 +27,9 @@
     val isTroubled: Boolean = false,
     var hasLatencyTarget: Boolean = false,
     var usesSpareCpu: Boolean = false,
+    var runCount: Int = 0,
+    var isInTrial: Boolean = false,
+    val isNew: Boolean = false,
 )
 
 /** Ranks by which a pass orders demands and selects preemption victims; lower ranks go first. */
@@ -60,6 +66,7 @@
  * @property tasksByWorker number of tasks of the step on each worker, by worker id; counted against [maxPerWorker].
  * @property waitedMs time since the step became ready, ms.
  * @property allowed ids of the only workers that may run the step, or null when all may.
+ * @property trial how the trial of tasks that may crash their workers is placed.
  * @property reserved workers that were emptied by preemption for this step, one entry for each task.
  */
 internal data class Demand<K>(
@@ -81,6 +88,7 @@
     val usesSpareCpu: Boolean = false,
     val reserved: List<String> = emptyList(),
     val allowed: Set<String>? = null,
+    val trial: TrialPlacement = TrialPlacement.NONE,
 )
 
 /**
@@ -166,7 +174,7 @@
             val workers = pass.place(demand)
             if (workers.isNotEmpty()) placed += Placed(demand, workers)
             val missing = demand.width - workers.size
-            if (missing > 0) {
+            if (missing > 0 && demand.trial == TrialPlacement.NONE) {
                 preemption.find(demand.copy(width = missing))?.let {
                     preemptions += it
                     pass.allocate(demand, it.workers)
@@ -180,7 +188,8 @@
             val rest = demand.withoutPlaced(chosen)
             val workers = if (rest.width == 0) chosen else chosen + pass.place(rest)
             if (workers.isNotEmpty()) placed += Placed(demand, workers)
-            if (workers.size < demand.width) pass.withholdFor(rest, demand.width - workers.size)
+            val isWaiting = workers.size < demand.width && demand.trial == TrialPlacement.NONE
+            if (isWaiting) pass.withholdFor(rest, demand.width - workers.size)
         }
         return Plan(placed, preemptions, pass.withheld)
     }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/model/JobLimitsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/model/JobLimitsTest.kt
@@ -39,17 +39,24 @@
         val spec = job(step(700), JobSchedule(1_700_000_000_000, 1, 400))
         val open = limits.openOccurrencesOf(spec)
         var begunLeft = limits.begunTasksOf(spec)
+        var trackedLeft = JobLimits.MAX_TRACKED_TASKS
         val finished = List(400 - open) { StepProgress(it, -1, isDone = true) }
         val steps =
             List(open) { occurrence ->
                 val begun = (0 until minOf(begunLeft, 700)).also { begunLeft -= it.count() }
+                val tracked = begun.take(trackedLeft).toSet().also { trackedLeft -= it.size }
                 StepProgress(
                     occurrence = 400 - open + occurrence,
                     step = 0,
                     done = (begun.count() until 700).toList(),
                     failures = begun.associateWith { listOf(100, 101, 102) },
                     checkpoints = begun.associateWith { "0".repeat(32) },
-                    started = begun.associateWith { StartedRun(103, "w".repeat(24)) },
+                    started =
+                        begun.associateWith {
+                            StartedRun(103, "w".repeat(24), if (it in tracked) 1_700_000_000_000 else 0)
+                        },
+                    crashes = tracked.associateWith { listOf(100, 101, 102) },
+                    certainCrashes = tracked.associateWith { listOf(103) },
                 )
             }
         val value = Rows.encode(JobProgress(JobState.RUNNING, finished + steps, workspace = "team"))
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/RunRecords.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/RunRecords.kt
@@ -19,6 +19,10 @@
     val violations = ArrayList<String>()
     private val acknowledgedRuns = HashSet<RunId>()
 
+    /** Number of workers that each task has crashed. */
+    val crashesByTask = HashMap<TaskId, Int>()
+    private val startsAfterThirdCrash = HashMap<TaskId, Int>()
+
     /** Returns the tasks that must be done before a task starts. Set by tests, as is [maxAttempts]. */
     var stepsBefore: (TaskId) -> List<TaskId> = { emptyList() }
     var maxAttempts = 3
@@ -43,6 +47,9 @@
         ) {
             violations += "$nowMs ms: $task has no attempts left"
         }
+        if ((crashesByTask[task] ?: 0) >= 3 && startsAfterThirdCrash.merge(task, 1, Int::plus) == 3) {
+            violations += "$nowMs ms: $task starts three times more after three workers have crashed under it"
+        }
         stepsBefore(task).forEach { before ->
             if (runs.none { it.run.task == before && it.ending == RunEnding.DONE }) {
                 violations +=
@@ -63,6 +70,11 @@
         record.ending = ending
     }
 
+    /** [task] has crashed its worker. */
+    fun crashed(task: TaskId) {
+        crashesByTask.merge(task, 1, Int::plus)
+    }
+
     fun acknowledged(
         run: RunId,
         ending: RunEnding,
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.test.currentTime
 import org.orioleferry.core.Clock
 import org.orioleferry.scheduler.DecisionLog
+import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.SchedulerSettings
 import org.orioleferry.scheduler.callers.JobApi
 import org.orioleferry.scheduler.callers.LookupResult
@@ -31,6 +32,7 @@
 import org.orioleferry.scheduler.workers.RenewalResult
 import org.orioleferry.scheduler.workers.RunId
 import org.orioleferry.scheduler.workers.StartOrder
+import org.orioleferry.scheduler.workers.StartRefusal
 import org.orioleferry.scheduler.workers.StartResult
 import org.orioleferry.scheduler.workers.StepId
 import org.orioleferry.scheduler.workers.StopResult
@@ -72,8 +74,34 @@
         List(workers) {
             SimulatedWorker("w$it", "r${it / 2}", WORKER_CAPACITY, background, clock, records, gangs, outcomeOf)
         }.associateBy { it.id }
+
+    /** Events that the instances have logged. */
+    val events = ArrayList<SchedulerEvent>()
+    private val log = DecisionLog { event, _, _ -> events += event }
     val deregisteredWorkers = HashSet<String>()
 
+    /** Replaces each worker that a run crashes by one of [spares], which has another id and the same address. */
+    fun replaceCrashedWorkers(spares: List<String>) {
+        val left = ArrayDeque(spares)
+        deregisteredWorkers += spares
+        workers.values.forEach { worker -> worker.onDeadlyRun = { replaceLater(worker, left) } }
+    }
+
+    private fun replaceLater(
+        worker: SimulatedWorker,
+        spares: ArrayDeque<String>,
+    ) {
+        worker.crash()
+        worker.isReachable = false
+        background.launch {
+            delay(worker.restartMs)
+            worker.isReachable = true
+            worker.isReplaced = true
+            deregisteredWorkers += worker.id
+            spares.removeFirstOrNull()?.let { deregisteredWorkers -= it }
+        }
+    }
+
     /** Workers among [deregisteredWorkers] that have deleted their own entry. */
     val departedWorkers = HashSet<String>()
 
@@ -108,7 +136,7 @@
                 { manifest },
                 clock,
                 settings,
-                NO_LOG,
+                log,
             ) { step, asked, _ ->
                 advice(step, asked)
             }
@@ -156,6 +184,7 @@
             waitMs: Int,
         ): RenewalResult {
             val target = reach(worker) ?: return RenewalResult.Unreachable("cut off")
+            if (target.isReplaced) return RenewalResult.OtherIncarnation
             val result = target.renewLeases(fence, lastSeen, deadlineMs, waitMs)
             delay(renewalAnswerMs + answerDelayMs(result))
             return if (dropsRenewalAnswers || reach(worker) == null) RenewalResult.Unreachable("cut off") else result
@@ -167,6 +196,7 @@
         ): StartResult {
             onStart(order)
             val target = reach(worker) ?: return StartResult.Unknown("cut off")
+            if (target.isReplaced) return StartResult.Refused(StartRefusal.OTHER_LIFE)
             return target.start(order).also { if (it is StartResult.Unknown) delay(LOST_CALL_DELAY_MS) }
         }
 
@@ -174,7 +204,10 @@
             worker: ListedWorker,
             run: RunId,
             fence: Long,
-        ): StopResult = reach(worker)?.stop(run, fence) ?: StopResult.UNKNOWN
+        ): StopResult {
+            val target = reach(worker) ?: return StopResult.UNKNOWN
+            return if (target.isReplaced) StopResult.OTHER_LIFE else target.stop(run, fence)
+        }
 
         private suspend fun reach(worker: ListedWorker): SimulatedWorker? {
             delay(1)
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -80,6 +80,23 @@
         isReachable = true
     }
 
+    /** Returns the time in ms after which a run crashes the worker, or null. The worker is back after [restartMs]. */
+    var crashesAfterMs: (TaskId) -> Long? = { null }
+    var restartMs = 3_200L
+
+    /** Whether another worker answers at the address of this one, which is gone. */
+    var isReplaced = false
+
+    /** Called when a run has crashed the worker; by default it is back under its id after [restartMs]. */
+    var onDeadlyRun: () -> Unit = {
+        crash()
+        isReachable = false
+        scope.launch {
+            delay(restartMs)
+            isReachable = true
+        }
+    }
+
     var needOf: (StartOrder) -> Resources = { Resources(1_000, 1_000, 1) }
     var startAnswersToDrop = 0
 
@@ -133,6 +150,7 @@
         records.started(order, id, clock.monotonicMs())
         gangs.arrived(order.run, this)
         scope.launch { work(order.run, outcome) }
+        crashesAfterMs(order.run.task)?.let { afterMs -> scope.launch { crashAfter(order.run, afterMs) } }
         if (startAnswersToDrop > 0) {
             startAnswersToDrop--
             return StartResult.Unknown("answer lost")
@@ -140,6 +158,16 @@
         return StartResult.Started
     }
 
+    private suspend fun crashAfter(
+        run: RunId,
+        afterMs: Long,
+    ) {
+        delay(afterMs)
+        if (run !in runs) return
+        records.crashed(run.task)
+        onDeadlyRun()
+    }
+
     private suspend fun work(
         run: RunId,
         outcome: Outcome,
