--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
@@ -132,6 +132,22 @@
             expectThat(cluster.records.violations).isEmpty()
         }
 
+    // Guards against a task that passes each trial and crashes its worker later.
+    @Test
+    fun `should give up a task that crashes its workers some time after its start`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 6) { _, _ -> Outcome(8_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(15_000)
+            cluster.workers.values.forEach { it.crashesAfterMs = { task -> if (task.job == "deadly") 5_000 else null } }
+            repeat(3) { cluster.submit(one, "sound-$it", "routine", step(6)) }
+            cluster.submit(one, "deadly", "routine", step(1))
+            delay(90_000)
+            expectThat(cluster.stateOf(one, "deadly")).isEqualTo(JobState.FAILED)
+            repeat(3) { expectThat(cluster.stateOf(one, "sound-$it")).isEqualTo(JobState.COMPLETED) }
+            expectThat(cluster.records.violations).isEmpty()
+        }
+
     // Guards against a gang with one deadly member that goes on for as long as its job lives.
     @Test
     fun `should give up a gang with a member that crashes its worker`() =
