--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -51,12 +51,7 @@
     private val renewal = Mutex()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
 
-    /** Numbers of the last run end that was processed, and of the last that the worker knows to be acknowledged. */
-    private var processedEndNumber = 0L
-    private var acknowledgedEndNumber = 0L
-
-    /** Unacknowledged ends: their number at the worker, and the sequence number of the change to be stored first. */
-    private val pendingEnds = ArrayDeque<Pair<Long, Long>>()
+    private val ends = EndAcknowledgements()
 
     /** Monotonic time at which the present incarnation was seen to begin, or null if it was there before. */
     private var bornAtMs: Long? = if (isNew) clock.monotonicMs() else null
@@ -122,13 +117,8 @@
         }
     }
 
-    private fun isIdle(): Boolean = isClaimed && runs.isEmpty() && lastStoredEnd() <= acknowledgedEndNumber
-
-    /** Returns the number of the last run end up to which all changes are stored. */
-    private fun lastStoredEnd(): Long {
-        val stored = listener.storedSequence
-        return pendingEnds.takeWhile { it.second <= stored }.lastOrNull()?.first ?: acknowledgedEndNumber
-    }
+    private fun isIdle(): Boolean =
+        isClaimed && runs.isEmpty() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
 
     /**
      * Returns the longest time in ms that the worker may hold the answer to a renewal; shorter for recent urgent runs,
@@ -142,8 +132,8 @@
         }
 
     private suspend fun renewOnce() {
-        val storedEnd = lastStoredEnd()
-        val hasUnstored = pendingEnds.any { it.first > storedEnd }
+        val storedEnd = ends.lastStored(listener.storedSequence)
+        val hasUnstored = ends.hasPendingAfter(storedEnd)
         // A worker that answers again is not asked to hold the answer: the leases are extended by the call after it.
         val isWaiting = isClaimed && runs.isNotEmpty() && !hasUnstored && unreachableSinceMs < 0
         val waitMs = if (isWaiting) maxWaitMs(clock.monotonicMs()) else 0
@@ -187,12 +177,8 @@
         // After a longer gap the worker, its path or this process stood still, and so may have the runs.
         val sinceListedMs =
             workerClock.update(renewed.clockMs).takeIf { it <= settings.pollWaitMs + MAX_LISTING_DELAY_MS }
-        acknowledgedEndNumber = maxOf(acknowledgedEndNumber, storedEnd)
-        while (pendingEnds.isNotEmpty() && pendingEnds.first().first <= acknowledgedEndNumber) pendingEnds.removeFirst()
-        renewed.ends.filter { it.number > processedEndNumber }.forEach { end ->
-            processedEndNumber = end.number
-            pendingEnds += end.number to listener.onEnd(this, end)
-        }
+        ends.acknowledge(storedEnd)
+        ends.addNew(renewed.ends) { listener.onEnd(this, it) }
         val present = renewed.present.associateBy { it.id }
         runs.values.filter { run -> (run.confirmedAtMs ?: Long.MAX_VALUE) < sentAtMs && run.id !in present }.forEach {
             listener.onGone(it, "not listed by the worker")
@@ -217,7 +203,7 @@
 
     /** Waits for pending ends to be stored: a renewal that leaves listed ends unacknowledged would return at once. */
     private suspend fun awaitStored() {
-        val lastSequence = pendingEnds.lastOrNull()?.second ?: return
+        val lastSequence = ends.lastSequence ?: return
         withTimeoutOrNull(MAX_STORE_WAIT_MS) {
             while (listener.storedSequence < lastSequence) wakeUp.receive()
         }
@@ -274,9 +260,7 @@
 
     private fun resetIncarnation() {
         isClaimed = false
-        processedEndNumber = 0
-        acknowledgedEndNumber = 0
-        pendingEnds.clear()
+        ends.reset()
         workerClock.forgetDeadlines()
     }
 
