Start nothing on a worker that is over its capacity (LIMIT)

What callers saw: a worker whose capacity has shrunk below what runs there gets further work, and where it does not guard its capacity, all of that competes.

Cause: countFitting ignored a resource that a task does not need, even where less than nothing of it was left. So urgent work that needs no processors stopped just enough runs to get memory and started beside the others, on a worker that was still over its processors; the use of a reservation had the same test. fitsIn, which all other placement uses, refuses that.

Change: nothing fits into an amount of which a part is negative. The search for victims then stops enough of them to bring the worker below its capacity, or looks elsewhere.

Evidence: ShrinkingWorkersTest 'should start urgent work only on a worker that is no longer over its capacity' and ResourcesTest failed before and pass; the tests of workers that shrink in one resource and grow again passed before as well.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
@@ -22,22 +22,29 @@
     public fun fitsIn(available: Resources): Boolean =
         cpuMillis <= available.cpuMillis && memoryMb <= available.memoryMb && accelerators <= available.accelerators
 
-    /** Returns how many tasks that need [need] each fit into this amount, at most [limit]. */
+    /** Whether a part is below 0, as on a worker whose runs need more than its capacity. */
+    public val isOverdrawn: Boolean get() = cpuMillis < 0 || memoryMb < 0 || accelerators < 0
+
+    /** Returns how many tasks that need [need] each fit into this amount, at most [limit]; none if it is overdrawn. */
     public fun countFitting(
         need: Resources,
         limit: Int,
     ): Int =
-        minOf(
-            limit,
-            quotient(cpuMillis, need.cpuMillis),
-            quotient(memoryMb, need.memoryMb),
-            quotient(accelerators, need.accelerators),
-        )
+        if (isOverdrawn) {
+            0
+        } else {
+            minOf(
+                limit,
+                quotient(cpuMillis, need.cpuMillis),
+                quotient(memoryMb, need.memoryMb),
+                quotient(accelerators, need.accelerators),
+            )
+        }
 
     private fun quotient(
         have: Int,
         need: Int,
-    ): Int = if (need <= 0) Int.MAX_VALUE else maxOf(0, have) / need
+    ): Int = if (need <= 0) Int.MAX_VALUE else have / need
 }
 
 /**
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/RunRecords.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/RunRecords.kt
@@ -70,6 +70,15 @@
         record.ending = ending
     }
 
+    /** The start of [run] has brought the [worker] over its capacity. */
+    fun overCapacity(
+        run: RunId,
+        worker: String,
+        nowMs: Long,
+    ) {
+        violations += "$nowMs ms: the start of $run brings $worker over its capacity"
+    }
+
     /** [task] has crashed its worker. */
     fun crashed(task: TaskId) {
         crashesByTask.merge(task, 1, Int::plus)
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -173,6 +173,9 @@
         /** Further time for which an answer is under way, by what it lists, ms. */
         var answerDelayMs: (RenewalResult) -> Long = { 0 }
 
+        /** Time for which stop orders are under way, ms. */
+        var stopDelayMs = 0L
+
         /** Called before each start; a test may delay or drop it. */
         var onStart: suspend (StartOrder) -> Unit = {}
 
@@ -205,6 +208,7 @@
             run: RunId,
             fence: Long,
         ): StopResult {
+            delay(stopDelayMs)
             val target = reach(worker) ?: return StopResult.UNKNOWN
             return if (target.isReplaced) StopResult.OTHER_LIFE else target.stop(run, fence)
         }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -31,7 +31,7 @@
 class SimulatedWorker(
     val id: String,
     val rack: String,
-    private val capacity: Resources,
+    capacity: Resources,
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val records: RunRecords,
@@ -97,6 +97,25 @@
         }
     }
 
+    /** Whether starts without room are refused; otherwise they are recorded as violations. */
+    var refusesWithoutRoom = true
+
+    /** Capacity, which may change while the worker runs. */
+    var capacity = capacity
+        set(value) {
+            capacityBefore = field
+            changedAtMs = clock.monotonicMs()
+            field = value
+        }
+    private var capacityBefore = capacity
+    private var changedAtMs = 0L
+
+    /** Whether a start with [used] resources in all is over a capacity that the directory has had the time to show. */
+    private fun isOver(used: Resources): Boolean {
+        val isShown = clock.monotonicMs() - changedAtMs > CAPACITY_LAG_MS
+        return !used.fitsIn(capacity) && (isShown || !used.fitsIn(capacityBefore))
+    }
+
     var needOf: (StartOrder) -> Resources = { Resources(1_000, 1_000, 1) }
     var startAnswersToDrop = 0
 
@@ -144,7 +163,16 @@
         val ticket = ticketFor(order.run.task)
         if (ticket != null && order.ticket != ticket) return StartResult.Refused(StartRefusal.NO_TICKET)
         val used = runs.values.fold(Resources()) { sum, run -> sum + needOf(run.order) }
-        if (!needOf(order).fitsIn(capacity - used)) return StartResult.Refused(StartRefusal.NO_ROOM)
+        if (refusesWithoutRoom &&
+            !needOf(order).fitsIn(capacity - used)
+        ) {
+            return StartResult.Refused(StartRefusal.NO_ROOM)
+        }
+        if (!refusesWithoutRoom &&
+            isOver(used + needOf(order))
+        ) {
+            records.overCapacity(order.run, id, clock.monotonicMs())
+        }
         val outcome = outcomeOf(order.run.task, order.run.attempt)
         runs[order.run] = ActiveRun(order, outcome, clock.monotonicMs())
         records.started(order, id, clock.monotonicMs())
@@ -255,6 +283,8 @@
         if (isStalled) 0.0 else floor(100.0 * (clock.monotonicMs() - state.beganMs) / maxOf(1, state.outcome.workMs))
 
     private companion object {
+        // The directory is read each 0.4 s; a change that is younger than this may not have been seen.
+        const val CAPACITY_LAG_MS = 500L
         const val STOP_DELAY_MS = 100L
         const val STATE_CHECK_INTERVAL_MS = 50L
 
