--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -68,6 +68,11 @@
         for (tryNumber in 1..MAX_START_TRIES) {
             // The run may have ended, and its worker restarted, while an earlier try waited for its answer.
             if (!ownership.canDecide || run.state == RunState.STOPPING || run.task.run !== run) break
+            // The worker's capacity may have shrunk since the run was planned.
+            if (run.session.free.isOverdrawn) {
+                result = StartResult.Refused(StartRefusal.NO_ROOM)
+                break
+            }
             result = dependencies.link.start(run.session.listed, startOrderOf(run))
             if (result !is StartResult.Unknown) break
             mayHaveStarted = true
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/ShrinkingWorkersTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/ShrinkingWorkersTest.kt
@@ -8,6 +8,7 @@
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.simulation.Outcome
 import org.orioleferry.scheduler.simulation.SimulatedCluster
+import org.orioleferry.scheduler.simulation.WriteFault
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -68,6 +69,26 @@
             }
         }
 
+    // Guards against a start that was decided before the worker shrank and sent after it, once its row was stored.
+    @Test
+    fun `should not send starts that no longer fit when their row is stored`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 1) { _, _ -> Outcome(2_000) }
+            cluster.unguarded()
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            val two = cluster.Instance("two")
+            one.store.nextWrite = { WriteFault.REFUSED }
+            cluster.submit(two, "a", 8, Resources(4_000, 16_000, 1))
+            delay(20)
+            cluster.workers.getValue("w0").capacity = whole.copy(memoryMb = 40_000)
+            delay(700)
+            one.store.nextWrite = { WriteFault.NONE }
+            delay(25_000)
+            expectThat(cluster.records.violations).isEmpty()
+            expectThat(cluster.stateOf(two, "a")).isEqualTo(JobState.COMPLETED)
+        }
+
     // Guards against workers that stay at their lowest capacity.
     @Test
     fun `should use the whole worker when it has grown again`() =
