Count runs on a worker that nobody wants while they are stopped (LIMIT)

What callers saw: after a change of the owner an unguarded worker is over its capacity for as long as the stops of unwanted runs take.

Cause: a listed run that is neither known nor adopted, as of a job that was cancelled meanwhile, is stopped and forgotten. It is not among the session's runs, so its resources counted as free at once. What is being stopped still counts.

Change: the session keeps what such runs need, from the job's specification or, if the job is not known, all of the worker, until the worker no longer lists them, and goes on asking until then. Runs of a job that is set aside count as well.

Evidence: ShrinkingWorkersTest 'should count runs that are being stopped because they are unknown' failed (six new starts beside six runs on eight accelerators) and passes.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
@@ -82,7 +82,10 @@
     val latencyTargetMs: Int = 0,
     val usesSpareCpu: Boolean = false,
     val maxUnavailable: Int = 0,
-)
+) {
+    /** Resources allocated to a task; a step that uses only spare processor time is allocated none of it. */
+    val countedNeed: Resources get() = if (usesSpareCpu) need.copy(cpuMillis = 0) else need
+}
 
 /** Schedule of a recurring job: occurrence k is due at [firstDueMs] + k x [periodMs] (Unix ms). */
 @Serializable
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -50,7 +50,7 @@
     val tasks: List<Task> = List(spec.count) { Task(TaskId(job.id, occurrence, index, it), this) }
 
     /** Resources allocated to a task; a step that uses only spare processor time is allocated none of it. */
-    val countedNeed: Resources = if (spec.usesSpareCpu) spec.need.copy(cpuMillis = 0) else spec.need
+    val countedNeed: Resources = spec.countedNeed
 
     /** Monotonic time at which the step was first seen to be ready, or -1. */
     var readySinceMs: Long = -1
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.launch
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.placement.TRIAL_MS
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunEndRecord
@@ -133,8 +134,8 @@
     override fun onUnknownRun(
         session: WorkerSession,
         present: PresentRun,
-    ) {
-        if (jobRegistry.isSetAside(present.id.task.job)) return
+    ): Resources {
+        if (jobRegistry.isSetAside(present.id.task.job)) return needOf(present.id, session)
         val job = jobRegistry[present.id.task.job]
         val task = job?.task(present.id.task)
         if (job == null || task == null || !isAdoptable(job, task, session, present.id)) {
@@ -145,8 +146,26 @@
                 "known" to (task != null),
             )
             scope.launch { dependencies.link.stop(session.listed, present.id, ownership.epoch) }
-            return
+            return needOf(present.id, session)
         }
+        adopt(task, session, present)
+        return Resources()
+    }
+
+    /** Returns what [run] holds on the worker; all of the worker if its job is not known. */
+    private fun needOf(
+        run: RunId,
+        session: WorkerSession,
+    ): Resources {
+        val steps = jobRegistry[run.task.job]?.accepted?.spec?.steps
+        return steps?.getOrNull(run.task.step)?.countedNeed ?: session.listed.capacity
+    }
+
+    private fun adopt(
+        task: Task,
+        session: WorkerSession,
+        present: PresentRun,
+    ) {
         val run = Run(present.id, task, session, RunState.RUNNING, clock.monotonicMs())
         run.checkpoint = present.checkpoint
         run.percent = present.percent
@@ -155,7 +174,7 @@
         run.beganMs = run.confirmedAtMs
         run.isUrgent = dependencies.manifest()?.queue(run.queue)?.priority == 0
         orders.attach(run)
-        job.hasStarted = true
+        task.step.job.hasStarted = true
         task.unresolvedWorker = ""
         log.record(
             SchedulerEvent.RUN_ADOPTED,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.scheduler.owner
 
+import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunEndRecord
 
@@ -14,11 +15,14 @@
         end: RunEndRecord,
     ): Long
 
-    /** The worker has listed a run that the session does not know. */
+    /**
+     * The worker has listed a run that the session does not know. Returns the resources that it holds until it has
+     * ended; none if it was adopted and is now among the session's runs.
+     */
     fun onUnknownRun(
         session: WorkerSession,
         present: PresentRun,
-    )
+    ): Resources
 
     /** A run has certainly ended and the worker cannot list its end. */
     fun onGone(
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -67,9 +67,12 @@
     /** Whether new runs may be started here. */
     val isOpen: Boolean get() = isClaimed && isListed && !listed.isDraining && unreachableSinceMs < 0
 
+    /** Resources of the listed runs that are not among [runs] and have not ended yet. */
+    private var foreignNeed = Resources()
+
     /** Resources not allocated to runs; runs that are being stopped still count. */
     val free: Resources get() =
-        runs.values.fold(listed.capacity) { remaining, run -> remaining - run.task.step.countedNeed }
+        runs.values.fold(listed.capacity - foreignNeed) { remaining, run -> remaining - run.task.step.countedNeed }
 
     fun wake() {
         wakeUp.trySend(Unit)
@@ -118,7 +121,9 @@
     }
 
     private fun isIdle(): Boolean =
-        isClaimed && runs.isEmpty() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
+        isClaimed && hasNoRuns() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
+
+    private fun hasNoRuns(): Boolean = runs.isEmpty() && foreignNeed == Resources()
 
     /**
      * Returns the longest time in ms that the worker may hold the answer to a renewal; shorter for recent urgent runs,
@@ -135,7 +140,7 @@
         val storedEnd = ends.lastStored(listener.storedSequence)
         val hasUnstored = ends.hasPendingAfter(storedEnd)
         // A worker that answers again is not asked to hold the answer: the leases are extended by the call after it.
-        val isWaiting = isClaimed && runs.isNotEmpty() && !hasUnstored && unreachableSinceMs < 0
+        val isWaiting = isClaimed && !hasNoRuns() && !hasUnstored && unreachableSinceMs < 0
         val waitMs = if (isWaiting) maxWaitMs(clock.monotonicMs()) else 0
         val sentAtMs = clock.monotonicMs()
         val deadlineMs = if (isClaimed && runs.isNotEmpty() && canExtendLeases(sentAtMs)) nextDeadlineMs() else null
@@ -183,9 +188,9 @@
         runs.values.filter { run -> (run.confirmedAtMs ?: Long.MAX_VALUE) < sentAtMs && run.id !in present }.forEach {
             listener.onGone(it, "not listed by the worker")
         }
-        present.values.forEach { entry ->
-            runs[entry.id]?.observe(entry, sinceListedMs, clock.monotonicMs()) ?: listener.onUnknownRun(this, entry)
-        }
+        val (known, unknown) = present.values.partition { it.id in runs }
+        known.forEach { runs.getValue(it.id).observe(it, sinceListedMs, clock.monotonicMs()) }
+        foreignNeed = unknown.fold(Resources()) { sum, entry -> sum + listener.onUnknownRun(this, entry) }
         if (!isClaimed) {
             isClaimed = true
             log.record(
@@ -261,6 +266,7 @@
     private fun resetIncarnation() {
         isClaimed = false
         ends.reset()
+        foreignNeed = Resources()
         workerClock.forgetDeadlines()
     }
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/ShrinkingWorkersTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/ShrinkingWorkersTest.kt
@@ -125,4 +125,25 @@
             expectThat(cluster.records.violations).isEmpty()
             expectThat(cluster.stateOf(one, "urgent")).isEqualTo(JobState.COMPLETED)
         }
+
+    // Guards against a run that nobody wants any more and that is not counted while it is being stopped.
+    @Test
+    fun `should count runs that are being stopped because they are unknown`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 1) { _, _ -> Outcome(8_000) }
+            cluster.unguarded()
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            cluster.submit(one, "old", 6, Resources(1_000, 1_000, 1))
+            delay(1_000)
+            val two = cluster.Instance("two")
+            one.kill()
+            two.jobApi.cancel("old", "team", 1_000)
+            two.start()
+            two.link.stopDelayMs = 900
+            cluster.submit(two, "new", 6, Resources(1_000, 1_000, 1))
+            delay(30_000)
+            expectThat(cluster.records.violations).isEmpty()
+            expectThat(cluster.stateOf(two, "new")).isEqualTo(JobState.COMPLETED)
+        }
 }
