Look for the open runs of a claimed worker once

A claim looked through all open tasks twice since crashes are counted at it; a new owner claims up to 245 workers at once.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
@@ -21,7 +21,7 @@
         session: WorkerSession,
         lost: List<LostRun>,
     ) {
-        val earlier = unresolvedOn(session.id)
+        val earlier = jobRegistry.unresolvedTasksOn(session.id).map { it.toLostRun() }
         if (lost.isEmpty() && earlier.isEmpty()) return
         val crashed = lost.map { CrashedRun(it, it.task.group, it.provenMs) }
         // What ran on a worker of an earlier owner, and for how long, is not known in full.
@@ -35,18 +35,17 @@
         (lost + earlier).forEach { count(it, session, it in causes) }
     }
 
-    /** Counts the crashes that happened between the starts of earlier owners and the claim of [session]'s worker. */
-    fun onClaimed(session: WorkerSession) {
-        unresolvedOn(session.id)
-            .filter { it.task.unresolvedIncarnationMs in 1 until session.listed.incarnationMs }
-            .forEach { count(it, session, isCertain = false) }
+    /** Counts the crash that has ended runs of earlier owners, those of [unresolved], before [session]'s worker was claimed. */
+    fun onClaimed(
+        session: WorkerSession,
+        unresolved: List<Task>,
+    ) {
+        unresolved
+            .filter { it.unresolvedIncarnationMs in 1 until session.listed.incarnationMs }
+            .forEach { count(it.toLostRun(), session, isCertain = false) }
     }
 
-    private fun unresolvedOn(worker: String): List<LostRun> =
-        jobRegistry
-            .unresolvedTasks()
-            .filter { it.unresolvedWorker == worker }
-            .map { LostRun(it, it.lastAttempt, provenMs = 0) }
+    private fun Task.toLostRun() = LostRun(this, lastAttempt, provenMs = 0)
 
     private fun count(
         lost: LostRun,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
@@ -142,6 +142,9 @@
             }.flatMap { it.tasks }
             .filter { it.unresolvedWorker.isNotEmpty() }
 
+    /** Returns the tasks of which an earlier owner's run may still exist on [worker]. */
+    fun unresolvedTasksOn(worker: String): List<Task> = unresolvedTasks().filter { it.unresolvedWorker == worker }
+
     /** Ends [job] and returns the sequence number of the change; callers see the state once it is stored. */
     fun end(
         job: Job,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -200,7 +200,11 @@
 
     /** Called once every run that earlier owners started on the worker [id] is known or has ended. */
     fun onWorkerSettled(id: String) {
-        jobRegistry.unresolvedTasks().filter { it.unresolvedWorker == id }.forEach { it.unresolvedWorker = "" }
+        settle(jobRegistry.unresolvedTasksOn(id))
+    }
+
+    private fun settle(unresolved: List<Task>) {
+        unresolved.forEach { it.unresolvedWorker = "" }
         replan()
     }
 
@@ -208,8 +212,7 @@
     fun onEarlierLeasesExpired() {
         val open = jobRegistry.unresolvedTasks()
         log.record(SchedulerEvent.TAKEOVER_CLEAR, dependencies.settings.instance, "tasks" to open.size)
-        open.forEach { it.unresolvedWorker = "" }
-        replan()
+        settle(open)
     }
 
     /** Stops the running members of an incomplete gang. */
@@ -229,8 +232,9 @@
     }
 
     override fun onClaimed(session: WorkerSession) {
-        crashControl.onClaimed(session)
-        onWorkerSettled(session.id)
+        val unresolved = jobRegistry.unresolvedTasksOn(session.id)
+        crashControl.onClaimed(session, unresolved)
+        settle(unresolved)
     }
 
     override fun onGone(
