Count a crash once that a new owner learns from the next life

What operators saw: up to 30 WORKER_CRASHED lines for one crash after a change of the owner. The next life of a worker answers each call until the old entry is removed, and the tasks that earlier owners had started there stay open until their leases have expired, so each answer reported them again. Their crashes were counted once, by attempt.

Crashes that are counted already are left out.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
@@ -21,7 +21,12 @@
         session: WorkerSession,
         lost: List<LostRun>,
     ) {
-        val earlier = jobRegistry.unresolvedTasksOn(session.id).map { it.toLostRun() }
+        // The next life answers each call until the entry of the worker is removed.
+        val earlier =
+            jobRegistry
+                .unresolvedTasksOn(session.id)
+                .map { it.toLostRun() }
+                .filterNot { it.attempt in it.task.crashes }
         if (lost.isEmpty() && earlier.isEmpty()) return
         val crashed = lost.map { CrashedRun(it, it.task.group, it.provenMs) }
         // What ran on a worker of an earlier owner, and for how long, is not known in full.
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/TaskCrashes.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/TaskCrashes.kt
@@ -30,12 +30,15 @@
     /** Monotonic time since which the task waits for its trial, or null if it was not seen to wait. */
     var waitsSinceMs: Long? = null
 
+    /** Whether the crash under the attempt with [number] is counted. */
+    operator fun contains(number: Int): Boolean = number in sharedAttempts || number in certainAttempts
+
     /** Counts the crash under [lost] and returns whether it is new and counts. */
     fun add(
         lost: LostRun,
         isCertain: Boolean,
     ): Boolean {
-        if (lost.attempt in sharedAttempts || lost.attempt in certainAttempts) return false
+        if (lost.attempt in this) return false
         // A lasting task meets crashes of other causes as time passes.
         if (isLasting && lost.provenMs >= LASTING_PROVEN_MS) {
             sharedAttempts.clear()
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
@@ -102,6 +102,25 @@
             expectThat(cluster.records.violations).isEmpty()
         }
 
+    // Guards against a line of the log for each call to a worker that is gone while its entry is still listed.
+    @Test
+    fun `should count a crash once that a new owner sees by the next life of the worker`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 1) { _, _ -> Outcome(5_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            cluster.submit(one, "a", "routine", step(2))
+            delay(1_000)
+            one.kill()
+            val worker = cluster.workers.getValue("w0")
+            worker.crash()
+            worker.isReplaced = true
+            cluster.Instance("two").start()
+            delay(6_000)
+            expectThat(cluster.events.filter { it == SchedulerEvent.WORKER_CRASHED }).hasSize(1)
+            expectThat(cluster.events.filter { it == SchedulerEvent.TASK_SUSPECTED }).hasSize(2)
+        }
+
     // Guards against a start without an answer that is not counted, although it has crashed the worker.
     @Test
     fun `should count crashes under starts that have no answer`() =
