Keep candidates for a crash away from trials

Cause: five of its crashes told nothing, since other runs had started beside it or the worker was new. Its wait for an empty worker counted from the crash, so that a wait for the owner used it up and it was placed like other work; the fallback took the worker with the fewest runs, often one that had just got others; an empty worker was often the one that had just come back.

Tests: TrialPlacementTest.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
@@ -1,6 +1,5 @@
 package org.orioleferry.scheduler.owner
 
-import org.orioleferry.core.Clock
 import org.orioleferry.scheduler.DecisionLog
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.JobState
@@ -10,7 +9,6 @@
 
 /** Counts the crashes of workers under tasks, and ends the jobs whose tasks crash the workers that start them. */
 internal class CrashControl(
-    private val clock: Clock,
     private val log: DecisionLog,
     private val jobRegistry: JobRegistry,
     private val writer: ProgressWriter,
@@ -81,7 +79,6 @@
         if (suspicion == Suspicion.CULPRIT) {
             giveUp(lost)
         } else {
-            task.crashes.waitsSinceMs = clock.monotonicMs()
             writer.markChanged(job)
         }
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -118,6 +118,7 @@
 
     private fun workerResources(): List<WorkerResources> =
         fleet.sessions.filter { fleet.isUsable(it) }.map { session ->
+            val unproven = session.runs.values.filter { it.provenMs(clock.monotonicMs()) < TRIAL_MS }
             WorkerResources(
                 id = session.id,
                 service = session.listed.service,
@@ -131,7 +132,8 @@
                 hasLatencyTarget = session.runs.values.any { it.task.step.spec.latencyTargetMs > 0 },
                 usesSpareCpu = session.runs.values.any { it.task.step.spec.usesSpareCpu },
                 runCount = session.runs.size,
-                isInTrial = session.runs.values.any { it.isTrial && it.provenMs(clock.monotonicMs()) < TRIAL_MS },
+                unprovenRunCount = unproven.size,
+                isInTrial = unproven.any { it.isTrial },
                 isNew = session.ageMs() < STABLE_WORKER_MS,
             )
         }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -24,7 +24,7 @@
 ) : SessionListener {
     private val clock = dependencies.clock
     private val log = dependencies.log
-    private val crashControl = CrashControl(clock, log, jobRegistry, writer, ::stopAll)
+    private val crashControl = CrashControl(log, jobRegistry, writer, ::stopAll)
     override val storedSequence: Long get() = writer.storedSequence
 
     override fun onEnd(
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -46,6 +46,7 @@
         run.isSpeedSample = isNearData && task.checkpoint.isEmpty() && !task.step.spec.isLasting
         attach(run)
         task.lastAttempt = attempt
+        task.crashes.waitsSinceMs = null
         val job = task.step.job
         if (!job.hasStarted) {
             job.hasStarted = true
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/TaskCrashes.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/TaskCrashes.kt
@@ -27,7 +27,7 @@
     /** Whether the next run of the task is a trial. */
     val needsTrial: Boolean get() = suspicion == Suspicion.SUSPECT && !hasPassedTrial
 
-    /** Monotonic time since which the task waits for its trial, or null if it was not seen to wait. */
+    /** Monotonic time since which the task could be started and waits for its trial, or null before. */
     var waitsSinceMs: Long? = null
 
     /** Whether the crash under the attempt with [number] is counted. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -37,6 +37,7 @@
         workers.mapNotNull { workersById[it] }.forEach { worker ->
             worker.free -= demand.need
             worker.runCount++
+            worker.unprovenRunCount++
             worker.isInTrial = worker.isInTrial || demand.trial != TrialPlacement.NONE
         }
     }
@@ -194,6 +195,7 @@
                 { it.consecutiveFailures },
                 { it.isTroubled },
                 { demand.trial != TrialPlacement.NONE && it.isNew },
+                { if (demand.trial == TrialPlacement.NONE) 0 else it.unprovenRunCount },
                 { if (demand.trial == TrialPlacement.NONE) 0 else it.runCount },
                 { speedTier(demand, it) },
                 { freeCoreMillis(demand, it) },
@@ -273,7 +275,7 @@
 ): Boolean =
     worker.service == demand.service &&
         !worker.isInTrial &&
-        (demand.trial != TrialPlacement.EMPTY_WORKER || worker.runCount == 0) &&
+        (demand.trial != TrialPlacement.EMPTY_WORKER || (worker.runCount == 0 && !worker.isNew)) &&
         (demand.allowed == null || worker.id in demand.allowed) &&
         (demand.label.isEmpty() || demand.label in worker.labels) &&
         !(demand.hasLatencyTarget && worker.usesSpareCpu) &&
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -12,6 +12,8 @@
  * @property hasLatencyTarget whether tasks with a latency target run on this worker.
  * @property usesSpareCpu whether tasks that use spare processor time run on this worker.
  * @property runCount number of runs on this worker.
+ * @property unprovenRunCount number of those that have not worked for as long as a trial takes; each of them hides the
+ *   cause of a crash.
  * @property isInTrial whether a suspect is on trial on this worker, so that nothing else starts there.
  * @property isNew whether the worker began a short time ago and may be unstable.
  */
@@ -28,6 +30,7 @@
     var hasLatencyTarget: Boolean = false,
     var usesSpareCpu: Boolean = false,
     var runCount: Int = 0,
+    var unprovenRunCount: Int = 0,
     var isInTrial: Boolean = false,
     val isNew: Boolean = false,
 )
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
@@ -167,6 +167,27 @@
             expectThat(cluster.records.violations).isEmpty()
         }
 
+    // Guards against a suspect that is started beside others, since it has waited for the owner and not for a worker.
+    @Test
+    fun `should begin the wait for an empty worker when the task can be started`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 6) { _, _ -> Outcome(5_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(15_000)
+            cluster.crashOn { it.job == "deadly" }
+            cluster.submit(one, "deadly", "routine", step(1))
+            delay(4_000)
+            val first = cluster.records.runsOf("deadly").size
+            one.kill()
+            delay(8_000)
+            cluster.submit(cluster.Instance("two").also { it.start() }, "sound", "routine", step(20))
+            delay(20_000)
+            expectThat(first).isLessThanOrEqualTo(2)
+            expectThat(cluster.stateOf(one, "deadly")).isEqualTo(JobState.FAILED)
+            expectThat(cluster.crashesOf("deadly")).isLessThanOrEqualTo(3)
+            expectThat(cluster.records.violations).isEmpty()
+        }
+
     // Guards against a gang with one deadly member that goes on for as long as its job lives.
     @Test
     fun `should give up a gang with a member that crashes its worker`() =
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/TrialPlacementTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/TrialPlacementTest.kt
@@ -14,6 +14,7 @@
         runs: Int = 0,
         isInTrial: Boolean = false,
         isNew: Boolean = false,
+        unproven: Int = 0,
     ) = WorkerResources(
         id,
         "pool",
@@ -24,6 +25,7 @@
         runCount = runs,
         isInTrial = isInTrial,
         isNew = isNew,
+        unprovenRunCount = unproven,
     )
 
     private fun demand(
@@ -59,6 +61,24 @@
             .isEqualTo(mapOf("t" to listOf("w1")))
     }
 
+    // Guards against a crash that tells nothing, as runs that had just started are candidates as well (BUDGET on
+    // omotnica-split with many deadly tasks, seed 98).
+    @Test
+    fun `should prefer a worker whose runs have worked for some time`() {
+        val workers = listOf(worker("w0", runs = 2, unproven = 1), worker("w1", runs = 4))
+        expectThat(place(workers, demand("t", TrialPlacement.FEWEST_RUNS))).isEqualTo(mapOf("t" to listOf("w1")))
+        val other = demand("other", TrialPlacement.NONE, rank = 0)
+        val equal = listOf(worker("w0", runs = 2), worker("w1", runs = 2))
+        expectThat(place(equal, other, demand("t", TrialPlacement.FEWEST_RUNS)))
+            .isEqualTo(mapOf("other" to listOf("w0"), "t" to listOf("w1")))
+    }
+
+    // Guards against a trial on a worker that may crash by itself, so that the crash tells nothing.
+    @Test
+    fun `should not use a new worker while an empty one is waited for`() {
+        expectThat(place(listOf(worker("w0", isNew = true)), demand("t", TrialPlacement.EMPTY_WORKER))).isEmpty()
+    }
+
     // Guards against a suspect that waits forever for an empty worker, and one on a worker that may crash by itself.
     @Test
     fun `should fall back to the worker with the fewest runs that is not new`() {
