Let trials wait longer for a worker of their own

Change: a suspect keeps a trial of its own until it has waited for 6 s, on any worker with room; an empty worker may be new, though an older one comes first. Not measured yet.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CrashEvidence.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CrashEvidence.kt
@@ -75,7 +75,7 @@
     /** Not a trial, or one that has waited so long that it is placed like other work. */
     NONE,
 
-    /** On a worker that is not new and has no runs, so that a crash costs no other work and has no other cause. */
+    /** On a worker without runs, so that a crash costs no other work; preferably on one that is not new. */
     EMPTY_WORKER,
 
     /** On the worker with the fewest runs that have not worked for [TRIAL_MS], then with the fewest runs. */
@@ -89,15 +89,18 @@
 ): TrialPlacement =
     when {
         waitedMs < EMPTY_WORKER_WAIT_MS -> TrialPlacement.EMPTY_WORKER
-        waitedMs >= MAX_TRIAL_WAIT_MS -> TrialPlacement.NONE
         // The other tasks of the step are a demand of their own, so only an empty worker is certain to be below the limit.
-        hasTaskLimit -> TrialPlacement.EMPTY_WORKER
-        else -> TrialPlacement.FEWEST_RUNS
+        hasTaskLimit && waitedMs < MAX_LIMITED_WAIT_MS -> TrialPlacement.EMPTY_WORKER
+        !hasTaskLimit && waitedMs < MAX_TRIAL_WAIT_MS -> TrialPlacement.FEWEST_RUNS
+        else -> TrialPlacement.NONE
     }
 
 // Work that waits for 3 s next to free resources counts as a fault, and a suspect has already waited for its worker.
 private const val EMPTY_WORKER_WAIT_MS = 800L
-private const val MAX_TRIAL_WAIT_MS = 2_000L
+private const val MAX_LIMITED_WAIT_MS = 2_000L
+
+// A trial takes any worker with room until then; other placement adds the right to stop runs, but starts others beside it.
+private const val MAX_TRIAL_WAIT_MS = 6_000L
 
 /** Age of a worker below which its crash may be one of a series, ms. */
 internal const val STABLE_WORKER_MS = 10_000L
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/CrashEvidenceTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/CrashEvidenceTest.kt
@@ -63,6 +63,8 @@
     fun `should place a trial like other work after a bounded wait`() {
         expectThat(trialPlacementOf(0, hasTaskLimit = false)).isEqualTo(TrialPlacement.EMPTY_WORKER)
         expectThat(trialPlacementOf(1_000, hasTaskLimit = false)).isEqualTo(TrialPlacement.FEWEST_RUNS)
+        expectThat(trialPlacementOf(5_000, hasTaskLimit = false)).isEqualTo(TrialPlacement.FEWEST_RUNS)
+        expectThat(trialPlacementOf(6_000, hasTaskLimit = false)).isEqualTo(TrialPlacement.NONE)
         expectThat(trialPlacementOf(1_000, hasTaskLimit = true)).isEqualTo(TrialPlacement.EMPTY_WORKER)
         expectThat(trialPlacementOf(2_000, hasTaskLimit = true)).isEqualTo(TrialPlacement.NONE)
     }
