--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CrashEvidence.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CrashEvidence.kt
@@ -75,7 +75,7 @@
     /** Not a trial, or one that has waited so long that it is placed like other work. */
     NONE,
 
-    /** On a worker without runs, so that a crash costs no other work; preferably on one that is not new. */
+    /** On a worker that is not new and has no runs, so that a crash costs no other work and has no other cause. */
     EMPTY_WORKER,
 
     /** On the worker with the fewest runs that have not worked for [TRIAL_MS], then with the fewest runs. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -275,7 +275,7 @@
 ): Boolean =
     worker.service == demand.service &&
         !worker.isInTrial &&
-        (demand.trial != TrialPlacement.EMPTY_WORKER || worker.runCount == 0) &&
+        (demand.trial != TrialPlacement.EMPTY_WORKER || (worker.runCount == 0 && !worker.isNew)) &&
         (demand.allowed == null || worker.id in demand.allowed) &&
         (demand.label.isEmpty() || demand.label in worker.labels) &&
         !(demand.hasLatencyTarget && worker.usesSpareCpu) &&
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/TrialPlacementTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/TrialPlacementTest.kt
@@ -75,10 +75,8 @@
 
     // Guards against a trial on a worker that may crash by itself, so that the crash tells nothing.
     @Test
-    fun `should use a new worker only when no other one is empty`() {
-        val trial = demand("t", TrialPlacement.EMPTY_WORKER)
-        expectThat(place(listOf(worker("w0", isNew = true), worker("w1")), trial)).isEqualTo(mapOf("t" to listOf("w1")))
-        expectThat(place(listOf(worker("w0", isNew = true)), trial)).isEqualTo(mapOf("t" to listOf("w0")))
+    fun `should not use a new worker while an empty one is waited for`() {
+        expectThat(place(listOf(worker("w0", isNew = true)), demand("t", TrialPlacement.EMPTY_WORKER))).isEmpty()
     }
 
     // Guards against a suspect that waits forever for an empty worker, and one on a worker that may crash by itself.
