Merge the handling of tasks that crash workers and of workers that shrink

The start of a run now checks both that its task still has to run and that its worker is not over its capacity.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -8,93 +8,8 @@
 import org.orioleferry.scheduler.model.StartedRun
 import org.orioleferry.scheduler.model.StepProgress
 import org.orioleferry.scheduler.model.StepSpec
-import org.orioleferry.scheduler.workers.RunId
 import org.orioleferry.scheduler.workers.TaskId
 
-/** State of a run as known to the owner. */
-internal enum class RunState {
-    /** The start order is in flight or its outcome is unknown. */
-    STARTING,
-    RUNNING,
-
-    /** A stop was decided; the run's resources stay allocated until its end is certain. */
-    STOPPING,
-}
-
-/** A run of a task on a worker, kept until its end is certain. */
-internal class Run(
-    val id: RunId,
-    val task: Task,
-    val session: WorkerSession,
-    var state: RunState,
-    val startedAtMs: Long,
-) {
-    val queue: String get() = task.step.job.accepted.spec.queue
-    val estimateMs: Long get() = task.step.spec.estimateMs
-    var checkpoint: String = ""
-    var ticket: String = ""
-    var percent: Double = 0.0
-
-    /** First progress that the worker listed, and its monotonic time; a resumed run does not begin at 0. */
-    var firstPercent: Double = 0.0
-    var firstPercentAtMs: Long = startedAtMs
-
-    /** Whether the run belongs to a queue of the highest priority. */
-    var isUrgent = false
-
-    /** Whether the duration of the run measures its worker's speed: it was not resumed and runs near its data. */
-    var isSpeedSample = false
-
-    /** Monotonic time at which [percent] was last seen to grow. */
-    var progressedAtMs: Long = startedAtMs
-
-    /** Time on the worker's clock, in ms, over which consecutive listings showed no progress. */
-    var unchangedMs = 0L
-
-    /** Value of [unchangedMs] at which the run was suspected to stand still, or -1; a later listing confirms it. */
-    var suspectedAtMs = -1L
-
-    /** Monotonic time at which the checkpoint was last seen to change. */
-    var checkpointedAtMs: Long = startedAtMs
-
-    /** Monotonic time at which the worker confirmed the start or stop; answers to later renewals must list the run. */
-    var confirmedAtMs: Long? = null
-
-    /** Returns the time in ms until the run ends, extrapolated from its progress; [Long.MAX_VALUE] if unknown. */
-    fun remainingMs(nowMs: Long): Long {
-        val progress = percent - firstPercent
-        if (progress < MIN_PROGRESS_PERCENT) return Long.MAX_VALUE
-        val msPerPercent = (progressedAtMs - firstPercentAtMs) / progress
-        return untilMs(progressedAtMs + ((PERCENT - percent) * msPerPercent).toLong(), nowMs)
-    }
-
-    /** Like [remainingMs], but falls back on the time since the start and the caller's estimate. */
-    fun expectedRemainingMs(nowMs: Long): Long {
-        val remainingMs = remainingMs(nowMs)
-        val beganMs = confirmedAtMs
-        if (remainingMs != Long.MAX_VALUE || !isSpeedSample || beganMs == null) return remainingMs
-        val hasProgress = percent >= MIN_PROGRESS_PERCENT
-        val durationMs = if (hasProgress) ((progressedAtMs - beganMs) * PERCENT / percent).toLong() else estimateMs
-        return untilMs(beganMs + durationMs, nowMs)
-    }
-
-    // A run that is overdue by more than the margin shows that the prediction was wrong.
-    private fun untilMs(
-        endMs: Long,
-        nowMs: Long,
-    ): Long = if (endMs - nowMs < -OVERDUE_MARGIN_MS) Long.MAX_VALUE else endMs - nowMs
-
-    private companion object {
-        const val PERCENT = 100
-
-        // Progress below this is too coarse to predict an end.
-        const val MIN_PROGRESS_PERCENT = 15
-
-        // Longest time between two listings of a worker's runs.
-        const val OVERDUE_MARGIN_MS = 2_000L
-    }
-}
-
 /** A task, the unit that runs on one worker. */
 internal class Task(
     val id: TaskId,
@@ -102,8 +17,12 @@
 ) {
     var isDone = false
     val failedAttempts = sortedSetOf<Int>()
+    val crashes = TaskCrashes(step.spec.isLasting)
     var checkpoint = ""
 
+    /** What runs that start and end together share: the step of a gang, or the task itself. */
+    val group: Any get() = if (step.spec.isGang) step else this
+
     /** Highest attempt that is known to have been ordered. */
     var lastAttempt = 0
     var run: Run? = null
@@ -114,6 +33,9 @@
      */
     var unresolvedWorker = ""
 
+    /** Incarnation of [unresolvedWorker] on which the run was started, or 0 if it is not known. */
+    var unresolvedIncarnationMs = 0L
+
     /** Monotonic time before which the task is not started again. */
     var notBeforeMs = 0L
 }
@@ -128,7 +50,7 @@
     val tasks: List<Task> = List(spec.count) { Task(TaskId(job.id, occurrence, index, it), this) }
 
     /** Resources allocated to a task; a step that uses only spare processor time is allocated none of it. */
-    val countedNeed: Resources = if (spec.usesSpareCpu) spec.need.copy(cpuMillis = 0) else spec.need
+    val countedNeed: Resources = spec.countedNeed
 
     /** Monotonic time at which the step was first seen to be ready, or -1. */
     var readySinceMs: Long = -1
@@ -251,11 +173,30 @@
 
     fun toProgress(): JobProgress {
         if (state.isEnded) return JobProgress(state, endedMs = endedMs, workspace = accepted.spec.workspace)
+        val tracked = trackedTasks()
         val summaries = finishedOccurrences.sorted().map { StepProgress(it, WHOLE_OCCURRENCE, isDone = true) }
-        return JobProgress(state, summaries + openSteps.mapNotNull(::progressOf), workspace = accepted.spec.workspace)
+        return JobProgress(
+            state,
+            summaries +
+                openSteps.mapNotNull {
+                    progressOf(it, tracked)
+                },
+            workspace = accepted.spec.workspace,
+        )
+    }
+
+    /** Returns the tasks whose crashes are stored, within the row's size: those with the most crashes first. */
+    private fun trackedTasks(): Set<Task> {
+        val begun = openSteps.flatMap { step -> step.tasks.filter { it.lastAttempt > 0 && !it.isDone } }
+        val chosen =
+            if (begun.size <= JobLimits.MAX_TRACKED_TASKS) begun else begun.sortedByDescending { it.crashes.count }
+        return chosen.take(JobLimits.MAX_TRACKED_TASKS).toSet()
     }
 
-    private fun progressOf(step: StepRun): StepProgress? {
+    private fun progressOf(
+        step: StepRun,
+        tracked: Set<Task>,
+    ): StepProgress? {
         if (step.isDone) return StepProgress(step.occurrence, step.index, isDone = true)
         val done = step.tasks.filter { it.isDone }.map { it.id.index }
         val failures =
@@ -268,12 +209,44 @@
                 it.id.index to
                     it.checkpoint
             }
-        val started = step.tasks.filter { it.lastAttempt > 0 && !it.isDone }.associate { it.id.index to startOf(it) }
+        val started =
+            step.tasks.filter { it.lastAttempt > 0 && !it.isDone }.associate {
+                it.id.index to
+                    startOf(it, it in tracked)
+            }
+        val crashed = step.tasks.filter { it in tracked && it.crashes.count > 0 }
         if (done.isEmpty() && failures.isEmpty() && checkpoints.isEmpty() && started.isEmpty()) return null
-        return StepProgress(step.occurrence, step.index, false, done, failures, checkpoints, started)
+        return StepProgress(
+            step.occurrence,
+            step.index,
+            false,
+            done,
+            failures,
+            checkpoints,
+            started,
+            attemptsByIndex(crashed) { it.crashes.sharedAttempts },
+            attemptsByIndex(crashed) { it.crashes.certainAttempts },
+        )
     }
 
-    private fun startOf(task: Task) = StartedRun(task.lastAttempt, task.run?.session?.id ?: task.unresolvedWorker)
+    private fun attemptsByIndex(
+        tasks: List<Task>,
+        attemptsOf: (Task) -> Set<Int>,
+    ): Map<Int, List<Int>> =
+        tasks.filter { attemptsOf(it).isNotEmpty() }.associate { it.id.index to attemptsOf(it).toList() }
+
+    private fun startOf(
+        task: Task,
+        isTracked: Boolean,
+    ): StartedRun {
+        val run = task.run
+        val incarnationMs = if (run == null) task.unresolvedIncarnationMs else run.incarnationMs
+        return StartedRun(
+            task.lastAttempt,
+            run?.session?.id ?: task.unresolvedWorker,
+            if (isTracked) incarnationMs else 0,
+        )
+    }
 
     private fun restore(stored: StepProgress) {
         if (stored.step == WHOLE_OCCURRENCE) {
@@ -284,10 +257,15 @@
         step.tasks.forEach { task ->
             if (stored.isDone || task.id.index in stored.done) step.markDone(task)
             task.failedAttempts += stored.failures[task.id.index].orEmpty()
+            task.crashes.sharedAttempts += stored.crashes[task.id.index].orEmpty()
+            task.crashes.certainAttempts += stored.certainCrashes[task.id.index].orEmpty()
             task.checkpoint = stored.checkpoints[task.id.index] ?: ""
             val started = stored.started[task.id.index]
             task.lastAttempt = maxOf(started?.attempt ?: 0, task.failedAttempts.lastOrNull() ?: 0)
-            if (!task.isDone) task.unresolvedWorker = started?.worker.orEmpty()
+            if (!task.isDone) {
+                task.unresolvedWorker = started?.worker.orEmpty()
+                task.unresolvedIncarnationMs = started?.incarnationMs ?: 0
+            }
         }
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.launch
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.Resources
+import org.orioleferry.scheduler.placement.TRIAL_MS
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunEndRecord
 import org.orioleferry.scheduler.workers.RunEnding
@@ -22,6 +24,7 @@
 ) : SessionListener {
     private val clock = dependencies.clock
     private val log = dependencies.log
+    private val crashControl = CrashControl(log, jobRegistry, writer, ::stopAll)
     override val storedSequence: Long get() = writer.storedSequence
 
     override fun onEnd(
@@ -37,6 +40,7 @@
         )
         session.runs[end.id]?.let { run ->
             if (end.ending == RunEnding.DONE) progressMonitor.recordCompletion(run)
+            if (run.provenMs(clock.monotonicMs()) >= TRIAL_MS) run.task.crashes.hasPassedTrial = true
             orders.detach(run)
         }
         replan()
@@ -134,8 +138,8 @@
     override fun onUnknownRun(
         session: WorkerSession,
         present: PresentRun,
-    ) {
-        if (jobRegistry.isSetAside(present.id.task.job)) return
+    ): Resources {
+        if (jobRegistry.isSetAside(present.id.task.job)) return needOf(present.id, session)
         val job = jobRegistry[present.id.task.job]
         val task = job?.task(present.id.task)
         if (job == null || task == null || !isAdoptable(job, task, session, present.id)) {
@@ -146,16 +150,35 @@
                 "known" to (task != null),
             )
             scope.launch { dependencies.link.stop(session.listed, present.id, ownership.epoch) }
-            return
+            return needOf(present.id, session)
         }
+        adopt(task, session, present)
+        return Resources()
+    }
+
+    /** Returns what [run] holds on the worker; all of the worker if its job is not known. */
+    private fun needOf(
+        run: RunId,
+        session: WorkerSession,
+    ): Resources {
+        val steps = jobRegistry[run.task.job]?.accepted?.spec?.steps
+        return steps?.getOrNull(run.task.step)?.countedNeed ?: session.listed.capacity
+    }
+
+    private fun adopt(
+        task: Task,
+        session: WorkerSession,
+        present: PresentRun,
+    ) {
         val run = Run(present.id, task, session, RunState.RUNNING, clock.monotonicMs())
         run.checkpoint = present.checkpoint
         run.percent = present.percent
         run.firstPercent = present.percent
         run.confirmedAtMs = clock.monotonicMs()
+        run.beganMs = run.confirmedAtMs
         run.isUrgent = dependencies.manifest()?.queue(run.queue)?.priority == 0
         orders.attach(run)
-        job.hasStarted = true
+        task.step.job.hasStarted = true
         task.unresolvedWorker = ""
         log.record(
             SchedulerEvent.RUN_ADOPTED,
@@ -181,7 +204,11 @@
 
     /** Called once every run that earlier owners started on the worker [id] is known or has ended. */
     fun onWorkerSettled(id: String) {
-        jobRegistry.unresolvedTasks().filter { it.unresolvedWorker == id }.forEach { it.unresolvedWorker = "" }
+        settle(jobRegistry.unresolvedTasksOn(id))
+    }
+
+    private fun settle(unresolved: List<Task>) {
+        unresolved.forEach { it.unresolvedWorker = "" }
         replan()
     }
 
@@ -189,8 +216,7 @@
     fun onEarlierLeasesExpired() {
         val open = jobRegistry.unresolvedTasks()
         log.record(SchedulerEvent.TAKEOVER_CLEAR, dependencies.settings.instance, "tasks" to open.size)
-        open.forEach { it.unresolvedWorker = "" }
-        replan()
+        settle(open)
     }
 
     /** Stops the running members of an incomplete gang. */
@@ -198,13 +224,22 @@
         step.tasks.forEach { task -> task.run?.let { orders.stop(it, "the gang is incomplete") } }
     }
 
+    override fun onCrashed(
+        session: WorkerSession,
+        lost: List<LostRun>,
+    ) = crashControl.onCrashed(session, lost)
+
     override fun onNewIncarnation(session: WorkerSession) {
         session.runs.values
             .toList()
             .forEach(orders::stopInNewIncarnation)
     }
 
-    override fun onClaimed(session: WorkerSession) = onWorkerSettled(session.id)
+    override fun onClaimed(session: WorkerSession) {
+        val unresolved = jobRegistry.unresolvedTasksOn(session.id)
+        crashControl.onClaimed(session, unresolved)
+        settle(unresolved)
+    }
 
     override fun onGone(
         run: Run,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -27,7 +27,7 @@
 
     /**
      * Starts [task] on [session] as the given attempt and allocates its resources at once. [isNearData] tells whether
-     * the task runs at full speed there.
+     * the task runs at full speed there, [isTrial] that nothing else may start beside it for a while.
      */
     fun start(
         task: Task,
@@ -36,14 +36,17 @@
         isUrgent: Boolean,
         isNearData: Boolean,
         ticket: String,
+        isTrial: Boolean = false,
     ) {
         val run = Run(RunId(task.id, attempt), task, session, RunState.STARTING, clock.monotonicMs())
         run.checkpoint = task.checkpoint
         run.ticket = ticket
         run.isUrgent = isUrgent
+        run.isTrial = isTrial
         run.isSpeedSample = isNearData && task.checkpoint.isEmpty() && !task.step.spec.isLasting
         attach(run)
         task.lastAttempt = attempt
+        task.crashes.waitsSinceMs = null
         val job = task.step.job
         if (!job.hasStarted) {
             job.hasStarted = true
@@ -65,6 +68,11 @@
         var mayHaveStarted = false
         for (tryNumber in 1..MAX_START_TRIES) {
             if (!isStartWanted(run)) break
+            // The worker's capacity may have shrunk since the run was planned.
+            if (run.session.free.isOverdrawn) {
+                result = StartResult.Refused(StartRefusal.NO_ROOM)
+                break
+            }
             result = dependencies.link.start(run.session.listed, startOrderOf(run))
             if (result !is StartResult.Unknown) break
             mayHaveStarted = true
@@ -98,6 +106,7 @@
 
     private suspend fun onStarted(run: Run) {
         run.confirmedAtMs = clock.monotonicMs()
+        run.beganMs = run.confirmedAtMs
         log.record(
             SchedulerEvent.RUN_STARTED,
             run.id.toLogName(),
@@ -161,6 +170,7 @@
     /** Makes sure that [run] neither runs nor starts in a new incarnation of its worker. */
     fun stopInNewIncarnation(run: Run) {
         run.confirmedAtMs = null
+        run.isOrphaned = true
         run.state = RunState.STOPPING
         scope.launch { sendStop(run) }
     }
@@ -181,7 +191,8 @@
                 delay(RETRY_MS)
                 continue
             }
-            when (dependencies.link.stop(run.session.listed, run.id, ownership.epoch)) {
+            val worker = run.session.listed
+            when (dependencies.link.stop(worker, run.id, ownership.epoch)) {
                 StopResult.ACCEPTED -> {
                     run.confirmedAtMs = clock.monotonicMs()
                     run.session.wake()
@@ -189,6 +200,7 @@
                 }
                 StopResult.FENCED -> ownership.isLost = true
                 StopResult.OTHER_LIFE -> {
+                    run.session.onOtherLife(worker.incarnationMs)
                     if (run.task.run === run) onGone(run, "another life answers")
                     return
                 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.scheduler.owner
 
+import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunEndRecord
 
@@ -14,11 +15,14 @@
         end: RunEndRecord,
     ): Long
 
-    /** The worker has listed a run that the session does not know. */
+    /**
+     * The worker has listed a run that the session does not know. Returns the resources that it holds until it has
+     * ended; none if it was adopted and is now among the session's runs.
+     */
     fun onUnknownRun(
         session: WorkerSession,
         present: PresentRun,
-    )
+    ): Resources
 
     /** A run has certainly ended and the worker cannot list its end. */
     fun onGone(
@@ -26,6 +30,15 @@
         reason: String,
     )
 
+    /**
+     * The worker has crashed while [lost] were on it, or may have been: orders without an answer are among them. Called
+     * before the runs end.
+     */
+    fun onCrashed(
+        session: WorkerSession,
+        lost: List<LostRun>,
+    )
+
     /**
      * The worker has restarted under the same id. Orders sent before this was known may have been executed in the new
      * incarnation, or may still be, so it is not certain that its runs have ended.
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -12,7 +12,6 @@
 import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.supervise
 import org.orioleferry.scheduler.workers.ListedWorker
-import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RenewalResult
 import org.orioleferry.scheduler.workers.RunId
 import org.orioleferry.scheduler.workers.WorkerLink
@@ -30,6 +29,7 @@
     private val settings: SchedulerSettings,
     private val log: DecisionLog,
     private val listener: SessionListener,
+    isNew: Boolean = false,
 ) {
     var listed: ListedWorker = listed
         private set
@@ -51,19 +51,15 @@
     private val renewal = Mutex()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
 
-    /** Numbers of the last run end that was processed, and of the last that the worker knows to be acknowledged. */
-    private var processedEndNumber = 0L
-    private var acknowledgedEndNumber = 0L
+    private val ends = EndAcknowledgements()
 
-    /** Unacknowledged ends: their number at the worker, and the sequence number of the change to be stored first. */
-    private val pendingEnds = ArrayDeque<Pair<Long, Long>>()
+    /** Monotonic time at which the present incarnation was seen to begin, or null if it was there before. */
+    private var bornAtMs: Long? = if (isNew) clock.monotonicMs() else null
 
-    /** Reading of the worker's clock in its last answer, and the local monotonic time at which that arrived. */
-    private var workerClockMs = 0L
-    private var workerClockReadAtMs = 0L
+    private val workerClock = WorkerClock(clock, settings)
 
-    /** Latest deadline given to the worker, on the worker's clock. */
-    private var highestDeadlineMs = 0L
+    /** Runs whose leases expired while the worker did not answer; it may have crashed before. */
+    private var lapsedRuns = emptyList<LostRun>()
 
     /** Local monotonic time since which no call was answered, or -1 while the worker is reachable. */
     private var unreachableSinceMs = -1L
@@ -71,26 +67,35 @@
     /** Whether new runs may be started here. */
     val isOpen: Boolean get() = isClaimed && isListed && !listed.isDraining && unreachableSinceMs < 0
 
+    /** Resources of the listed runs that are not among [runs] and have not ended yet. */
+    private var foreignNeed = Resources()
+
     /** Resources not allocated to runs; runs that are being stopped still count. */
     val free: Resources get() =
-        runs.values.fold(listed.capacity) { remaining, run -> remaining - run.task.step.countedNeed }
+        runs.values.fold(listed.capacity - foreignNeed) { remaining, run -> remaining - run.task.step.countedNeed }
 
     fun wake() {
         wakeUp.trySend(Unit)
     }
 
+    /** Returns the time in ms since the present incarnation was seen to begin; [Long.MAX_VALUE] if it was there before. */
+    fun ageMs(): Long {
+        val untilMs = if (unreachableSinceMs >= 0) unreachableSinceMs else clock.monotonicMs()
+        return bornAtMs?.let { untilMs - it } ?: Long.MAX_VALUE
+    }
+
     /** Returns the shortest time in ms until the worker leaves, or null if it is not known to leave. */
     fun leavesInMs(): Long? {
         val leavesAtMs = listed.leavesAtMs?.takeIf { listed.isDraining && isClaimed } ?: return null
-        return leavesAtMs - workerClockMs - (clock.monotonicMs() - workerClockReadAtMs)
+        return leavesAtMs - workerClock.nowMs()
     }
 
     /** Returns the deadline on the worker's clock for an order sent now, in ms. */
-    fun nextDeadlineMs(): Long {
-        val deadline = workerClockMs + (clock.monotonicMs() - workerClockReadAtMs) + settings.runLeaseMs
-        highestDeadlineMs = maxOf(highestDeadlineMs, deadline)
-        return deadline
-    }
+    fun nextDeadlineMs(): Long = workerClock.nextDeadlineMs()
+
+    /** Whether the next answer at the worker's address may show that the worker crashed while it had runs. */
+    val awaitsNextLife: Boolean
+        get() = lapsedRuns.isNotEmpty() && clock.monotonicMs() - unreachableSinceMs < NEXT_LIFE_WAIT_MS
 
     /** Applies a changed directory entry. */
     fun update(entry: ListedWorker) {
@@ -115,13 +120,10 @@
         }
     }
 
-    private fun isIdle(): Boolean = isClaimed && runs.isEmpty() && lastStoredEnd() <= acknowledgedEndNumber
+    private fun isIdle(): Boolean =
+        isClaimed && hasNoRuns() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
 
-    /** Returns the number of the last run end up to which all changes are stored. */
-    private fun lastStoredEnd(): Long {
-        val stored = listener.storedSequence
-        return pendingEnds.takeWhile { it.second <= stored }.lastOrNull()?.first ?: acknowledgedEndNumber
-    }
+    private fun hasNoRuns(): Boolean = runs.isEmpty() && foreignNeed == Resources()
 
     /**
      * Returns the longest time in ms that the worker may hold the answer to a renewal; shorter for recent urgent runs,
@@ -135,10 +137,10 @@
         }
 
     private suspend fun renewOnce() {
-        val storedEnd = lastStoredEnd()
-        val hasUnstored = pendingEnds.any { it.first > storedEnd }
+        val storedEnd = ends.lastStored(listener.storedSequence)
+        val hasUnstored = ends.hasPendingAfter(storedEnd)
         // A worker that answers again is not asked to hold the answer: the leases are extended by the call after it.
-        val isWaiting = isClaimed && runs.isNotEmpty() && !hasUnstored && unreachableSinceMs < 0
+        val isWaiting = isClaimed && !hasNoRuns() && !hasUnstored && unreachableSinceMs < 0
         val waitMs = if (isWaiting) maxWaitMs(clock.monotonicMs()) else 0
         val sentAtMs = clock.monotonicMs()
         val deadlineMs = if (isClaimed && runs.isNotEmpty() && canExtendLeases(sentAtMs)) nextDeadlineMs() else null
@@ -155,7 +157,7 @@
                 ownership.isLost = true
             }
             RenewalResult.OtherIncarnation -> {
-                if (incarnation == listed.incarnationMs) endIncarnation("another life answers")
+                onOtherLife(incarnation)
                 delay(RETRY_MS)
             }
             is RenewalResult.Unreachable -> onUnreachable(result)
@@ -176,22 +178,19 @@
             return
         }
         if (unreachableSinceMs >= 0) unreachableSinceMs = -1
-        val sinceListedMs = renewed.clockMs - workerClockMs
-        workerClockMs = renewed.clockMs
-        workerClockReadAtMs = clock.monotonicMs()
-        acknowledgedEndNumber = maxOf(acknowledgedEndNumber, storedEnd)
-        while (pendingEnds.isNotEmpty() && pendingEnds.first().first <= acknowledgedEndNumber) pendingEnds.removeFirst()
-        renewed.ends.filter { it.number > processedEndNumber }.forEach { end ->
-            processedEndNumber = end.number
-            pendingEnds += end.number to listener.onEnd(this, end)
-        }
+        lapsedRuns = emptyList()
+        // After a longer gap the worker, its path or this process stood still, and so may have the runs.
+        val sinceListedMs =
+            workerClock.update(renewed.clockMs).takeIf { it <= settings.pollWaitMs + MAX_LISTING_DELAY_MS }
+        ends.acknowledge(storedEnd)
+        ends.addNew(renewed.ends) { listener.onEnd(this, it) }
         val present = renewed.present.associateBy { it.id }
         runs.values.filter { run -> (run.confirmedAtMs ?: Long.MAX_VALUE) < sentAtMs && run.id !in present }.forEach {
             listener.onGone(it, "not listed by the worker")
         }
-        present.values.forEach { entry ->
-            runs[entry.id]?.let { updateRun(it, entry, sinceListedMs) } ?: listener.onUnknownRun(this, entry)
-        }
+        val (known, unknown) = present.values.partition { it.id in runs }
+        known.forEach { runs.getValue(it.id).observe(it, sinceListedMs, clock.monotonicMs()) }
+        foreignNeed = unknown.fold(Resources()) { sum, entry -> sum + listener.onUnknownRun(this, entry) }
         if (!isClaimed) {
             isClaimed = true
             log.record(
@@ -207,34 +206,9 @@
         awaitStored()
     }
 
-    private fun updateRun(
-        run: Run,
-        entry: PresentRun,
-        sinceListedMs: Long,
-    ) {
-        // After a longer gap the worker, its path or this process stood still, and so may have the run.
-        if (entry.percent > run.percent || sinceListedMs > settings.pollWaitMs + MAX_LISTING_DELAY_MS) {
-            run.unchangedMs = 0
-            run.suspectedAtMs = -1
-        } else {
-            run.unchangedMs += sinceListedMs
-        }
-        val now = clock.monotonicMs()
-        if (run.firstPercentAtMs == run.startedAtMs) {
-            run.firstPercentAtMs = now
-            run.firstPercent = entry.percent
-        }
-        if (entry.percent > run.percent) run.progressedAtMs = now
-        run.percent = entry.percent
-        if (entry.checkpoint.isNotEmpty() && entry.checkpoint != run.checkpoint) {
-            run.checkpoint = entry.checkpoint
-            run.checkpointedAtMs = now
-        }
-    }
-
     /** Waits for pending ends to be stored: a renewal that leaves listed ends unacknowledged would return at once. */
     private suspend fun awaitStored() {
-        val lastSequence = pendingEnds.lastOrNull()?.second ?: return
+        val lastSequence = ends.lastSequence ?: return
         withTimeoutOrNull(MAX_STORE_WAIT_MS) {
             while (listener.storedSequence < lastSequence) wakeUp.receive()
         }
@@ -246,14 +220,32 @@
             unreachableSinceMs = now
             log.record(SchedulerEvent.WORKER_LOST, id, "reason" to result.reason, "runs" to runs.size)
         }
-        if (runs.isNotEmpty() && now > leasesExpiredAtMs()) endIncarnation("lease has lapsed")
+        if (runs.isNotEmpty() && now > workerClock.leasesExpiredAtMs()) {
+            lapsedRuns = lostRuns()
+            endIncarnation("lease has lapsed")
+        }
         delay(if (now - unreachableSinceMs < QUICK_RETRY_MS) RETRY_MS else SLOW_RETRY_MS)
     }
 
-    /** Returns the local time by which the worker's clock has certainly passed every deadline it was given, in ms. */
-    private fun leasesExpiredAtMs(): Long =
-        workerClockReadAtMs + ((highestDeadlineMs - workerClockMs).coerceAtLeast(0) / settings.minClockRate).toLong() +
-            EXPIRY_MARGIN_MS
+    /** Ends the runs after another incarnation than [incarnationMs] has answered a call at the worker's address. */
+    fun onOtherLife(incarnationMs: Long) {
+        if (incarnationMs != listed.incarnationMs) return
+        reportCrash()
+        endIncarnation("another life answers")
+    }
+
+    /** Reports the crash of the present incarnation. A worker that drains ends by itself. */
+    private fun reportCrash() {
+        val lost = lostRuns() + if (awaitsNextLife) lapsedRuns else emptyList()
+        lapsedRuns = emptyList()
+        runs.values.forEach { it.isOrphaned = true }
+        if (!listed.isDraining) listener.onCrashed(this, lost)
+    }
+
+    private fun lostRuns(): List<LostRun> =
+        runs.values.filter { !it.isOrphaned }.map { run ->
+            LostRun(run.task, run.id.attempt, run.provenMs(workerClock.readAtMs))
+        }
 
     private fun beginNewIncarnation(entry: ListedWorker) {
         log.record(
@@ -263,7 +255,9 @@
             "earlier" to listed.incarnationMs,
             "runs" to runs.size,
         )
+        reportCrash()
         listed = entry
+        bornAtMs = clock.monotonicMs()
         resetIncarnation()
         listener.onNewIncarnation(this)
         wake()
@@ -271,10 +265,9 @@
 
     private fun resetIncarnation() {
         isClaimed = false
-        processedEndNumber = 0
-        acknowledgedEndNumber = 0
-        pendingEnds.clear()
-        highestDeadlineMs = 0
+        ends.reset()
+        foreignNeed = Resources()
+        workerClock.forgetDeadlines()
     }
 
     /** Ends all runs, because this incarnation of the worker is over or its leases have expired. */
@@ -314,7 +307,7 @@
         // Leases are still extended at this period while the store cannot store run ends.
         const val MAX_STORE_WAIT_MS = 1_000L
 
-        // Longest time in flight of an order after its deadline was computed.
-        const val EXPIRY_MARGIN_MS = 300L
+        // A worker that crashes is back after some seconds; a later life shows nothing about the runs that have lapsed.
+        const val NEXT_LIFE_WAIT_MS = 15_000L
     }
 }
