Send no start to a worker that has begun to drain meanwhile

Work that is started on a draining worker is cut off when the worker leaves, and breaks DRAIN once the report of draining is older than its bound.

With a store that refuses or delays the row, the wait takes seconds.

Why it works: the worker's entry is checked again when the start is sent.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -95,12 +95,14 @@
 
     /**
      * Whether [run] may be started now. While its start waited for its row, for its turn or for the answer to an earlier
-     * try, the ownership may have lapsed, the run may have ended, and a worker may have listed that its task is done.
+     * try, the ownership may have lapsed, the run may have ended, its worker may have begun to drain, and a worker may
+     * have listed that its task is done.
      */
     private fun isStartWanted(run: Run): Boolean =
         ownership.canDecide &&
             run.state != RunState.STOPPING &&
             run.task.run === run &&
+            !run.session.listed.isDraining &&
             !run.task.isDone &&
             run.task.step.job.isLive
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/WorkerFaultsTest.kt
@@ -102,6 +102,25 @@
             expectThat(cluster.records.violations).isEmpty()
         }
 
+    // Guards against a start on a worker that began to drain while the start waited to be stored.
+    @Test
+    fun `should not start a task on a worker that drains by the time the start is stored`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 2) { _, _ -> Outcome(1_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(500)
+            one.store.nextWrite = { if (it.changesProgress()) WriteFault.REFUSED else WriteFault.NONE }
+            cluster.submit(one, "a", "routine", StepSpec(16, SimulatedCluster.ONE_ACCELERATOR, 1_000))
+            delay(500)
+            cluster.workers.getValue("w0").isDraining = true
+            delay(1_500)
+            one.store.nextWrite = { WriteFault.NONE }
+            delay(6_000)
+            expectThat(cluster.records.runsOf("a").filter { it.worker == "w0" }).isEmpty()
+            expectThat(cluster.stateOf(one, "a")).isEqualTo(JobState.COMPLETED)
+            expectThat(cluster.records.violations).isEmpty()
+        }
+
     // Guards against an urgent job that waits for a stalled worker, as in an incident on omotnica-split.
     @Test
     fun `should restart urgent tasks on other workers when a worker stalls`() =
