Test bursts of orders and claims, known to fail

Cause: every order of a pass and every claim of a takeover is sent at once, each with a limit of 0.7 s for its answer. An owner that handles fewer calls in that time loses the answers of the rest together; each is sent up to three times, then stopped and started elsewhere, and a worker whose renewal was lost counts as silent.

--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -176,6 +176,14 @@
         /** Time for which stop orders are under way, ms. */
         var stopDelayMs = 0L
 
+        /** Time for which a call occupies the instance, which handles one after another, ms. */
+        var callCostMs = 0L
+        private var occupiedUntilMs = 0L
+
+        /** Number of calls made so far. */
+        var callCount = 0
+            private set
+
         /** Called before each start; a test may delay or drop it. */
         var onStart: suspend (StartOrder) -> Unit = {}
 
@@ -188,7 +196,9 @@
         ): RenewalResult {
             val target = reach(worker) ?: return RenewalResult.Unreachable("cut off")
             if (target.isReplaced) return RenewalResult.OtherIncarnation
-            val result = target.renewLeases(fence, lastSeen, deadlineMs, waitMs)
+            val result =
+                occupying { target.renewLeases(fence, lastSeen, deadlineMs, waitMs) }
+                    ?: return RenewalResult.Unreachable("no answer in time")
             delay(renewalAnswerMs + answerDelayMs(result))
             return if (dropsRenewalAnswers || reach(worker) == null) RenewalResult.Unreachable("cut off") else result
         }
@@ -200,7 +210,8 @@
             onStart(order)
             val target = reach(worker) ?: return StartResult.Unknown("cut off")
             if (target.isReplaced) return StartResult.Refused(StartRefusal.OTHER_LIFE)
-            return target.start(order).also { if (it is StartResult.Unknown) delay(LOST_CALL_DELAY_MS) }
+            val result = occupying { target.start(order) } ?: return StartResult.Unknown("no answer in time")
+            return result.also { if (it is StartResult.Unknown) delay(LOST_CALL_DELAY_MS) }
         }
 
         override suspend fun stop(
@@ -210,7 +221,25 @@
         ): StopResult {
             delay(stopDelayMs)
             val target = reach(worker) ?: return StopResult.UNKNOWN
-            return if (target.isReplaced) StopResult.OTHER_LIFE else target.stop(run, fence)
+            if (target.isReplaced) return StopResult.OTHER_LIFE
+            return occupying { target.stop(run, fence) } ?: StopResult.UNKNOWN
+        }
+
+        /** Makes [call] after the calls before it; returns null, and makes it late, if that exceeds its time limit. */
+        private suspend fun <T : Any> occupying(call: suspend () -> T): T? {
+            callCount++
+            occupiedUntilMs = maxOf(occupiedUntilMs, clock.monotonicMs()) + callCostMs
+            val waitMs = occupiedUntilMs - clock.monotonicMs()
+            if (waitMs > LOST_CALL_DELAY_MS) {
+                background.launch {
+                    delay(waitMs)
+                    call()
+                }
+                delay(LOST_CALL_DELAY_MS)
+                return null
+            }
+            delay(waitMs)
+            return call()
         }
 
         private suspend fun reach(worker: ListedWorker): SimulatedWorker? {
