Show that the ends of a worker's new life are forgotten

A worker crashes behind a cut and starts again under its id; the next hold carries the old life's last number, and subtasks that ended in the new life start again.

--- a/review/stand-ins/Entry.java
+++ b/review/stand-ins/Entry.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
 /** One process of the project's program, started by the command of the deploy file. */
@@ -26,10 +27,18 @@
         base = freePort();
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections, which could take it meanwhile. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        Random random = new Random();
+        for (int i = 0; i < 1_000; i++) {
+            int port = 16_000 + random.nextInt(16_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // In use.
+            }
         }
+        throw new IOException("no free port");
     }
 
     void start() throws IOException {
--- a/review/stand-ins/Worker.java
+++ b/review/stand-ins/Worker.java
@@ -57,6 +57,7 @@
     private long seq;
     private volatile boolean isDark;
     private volatile boolean isCut;
+    private volatile long beatsFromMs;
 
     Worker(Lab lab, String id, String rack) throws IOException {
         this.lab = lab;
@@ -104,9 +105,15 @@
     }
 
     void endCut() {
+        endCut(0);
+    }
+
+    /** Answers again from now on; its entry is written [lagMs] later. */
+    void endCut(long lagMs) {
+        beatsFromMs = Lab.nowMs() + lagMs;
         isCut = false;
         lab.note("worker " + id + " is no longer cut off");
-        beat();
+        Lab.after(lagMs, this::beat);
     }
 
     synchronized int runCount() {
@@ -114,7 +121,7 @@
     }
 
     private void beat() {
-        if (isDark || isCut) return;
+        if (isDark || isCut || Lab.nowMs() < beatsFromMs) return;
         Map<String, Object> entry =
             Json.of(
                 "backend", Lab.SERVICE, "address", "127.0.0.1:" + http.port, "zone", "split-a", "version", "v1",
