Count a crash in full only under runs that were on the worker

Cause: a session keeps a run until its end is certain, and took all that it kept as lost by a crash: orders that never arrived, runs whose stop was accepted, runs of a broken gang, and runs whose leases had expired. None of these has worked for 2 s, so the crash even counted as certain, and two of them end the job.

In a play with deadly tasks (trial with the reasons of all calls) a crashed worker closes its connections within 30 ms and refuses further calls until it is back; a worker behind a cut is silent. WORKER_LOST now tells the two apart.

Why it works: a crash is counted in full only if the run was seen to begin, its gang is whole, no stop was accepted and every call since was closed or refused. Other crashes are unconfirmed: the next run is a trial, and they end a job only as five crashes of any kind, which the platform's limit of starts allows. A worker has to answer before a start under a task with crashes on record.

Tests: three of CrashingTasksTest failed before (starts that were lost, expired leases, a broken gang). The simulated worker that a task crashes now refuses calls, as the platform's do; the older tests hold with it. The stored progress has one more optional field.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobProgress.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobProgress.kt
@@ -38,8 +38,9 @@
  * @property failures numbers of the failed attempts by task index; numbers instead of a count, so that an end which a
  *   worker lists twice is counted once.
  * @property crashes numbers of the attempts under which a worker has crashed, by task index; not those in
- *   [certainCrashes].
+ *   [certainCrashes] or [unconfirmedCrashes].
  * @property certainCrashes numbers of the attempts that have certainly caused their worker's crash, if a run has.
+ * @property unconfirmedCrashes numbers of the attempts that may not have been on their worker when it crashed.
  * @property checkpoints latest known checkpoint by task index.
  * @property started latest start by task index; it is stored before the start order is sent.
  */
@@ -54,6 +55,7 @@
     val started: Map<Int, StartedRun> = emptyMap(),
     val crashes: Map<Int, List<Int>> = emptyMap(),
     val certainCrashes: Map<Int, List<Int>> = emptyMap(),
+    val unconfirmedCrashes: Map<Int, List<Int>> = emptyMap(),
 )
 
 /** Progress of a job, stored by the owner. [endedMs] is Unix ms, 0 while the job has not ended. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
@@ -48,7 +48,7 @@
             .forEach { count(it.toLostRun(), session, isCertain = false) }
     }
 
-    private fun Task.toLostRun() = LostRun(this, lastAttempt, provenMs = 0)
+    private fun Task.toLostRun() = LostRun(this, lastAttempt, provenMs = 0, Presence.POSSIBLE)
 
     private fun count(
         lost: LostRun,
@@ -73,6 +73,8 @@
             "worker" to session.id,
             "crashes" to task.crashes.count,
             "certain" to task.crashes.certainAttempts.size,
+            "unconfirmed" to task.crashes.unconfirmedAttempts.size,
+            "presence" to lost.presence,
             "provenMs" to lost.provenMs,
             "verdict" to suspicion,
         )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -226,6 +226,7 @@
             started,
             attemptsByIndex(crashed) { it.crashes.sharedAttempts },
             attemptsByIndex(crashed) { it.crashes.certainAttempts },
+            attemptsByIndex(crashed) { it.crashes.unconfirmedAttempts },
         )
     }
 
@@ -259,6 +260,7 @@
             task.failedAttempts += stored.failures[task.id.index].orEmpty()
             task.crashes.sharedAttempts += stored.crashes[task.id.index].orEmpty()
             task.crashes.certainAttempts += stored.certainCrashes[task.id.index].orEmpty()
+            task.crashes.unconfirmedAttempts += stored.unconfirmedCrashes[task.id.index].orEmpty()
             task.checkpoint = stored.checkpoints[task.id.index] ?: ""
             val started = stored.started[task.id.index]
             task.lastAttempt = maxOf(started?.attempt ?: 0, task.failedAttempts.lastOrNull() ?: 0)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
@@ -40,6 +40,12 @@
     /** Monotonic time since which the run is known to work, or null while its start has no answer. */
     var beganMs: Long? = null
 
+    /** Whether the worker has accepted the order to stop the run. */
+    var isStopAccepted = false
+
+    /** Whether another member of the gang has ended, upon which the worker ends this one by itself. */
+    var isGangBroken = false
+
     /** Whether the incarnation of the worker on which the run was started is over. */
     var isOrphaned = false
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -131,7 +131,10 @@
     ) {
         if (!task.step.spec.isGang || task.isDone) return
         task.step.tasks.forEach { member ->
-            member.run?.takeIf { it.id.attempt == ended.attempt }?.let { orders.stop(it, "a member has ended") }
+            member.run?.takeIf { it.id.attempt == ended.attempt }?.let {
+                it.isGangBroken = true
+                orders.stop(it, "a member has ended")
+            }
         }
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -73,6 +73,11 @@
                 result = StartResult.Refused(StartRefusal.NO_ROOM)
                 break
             }
+            // Under a task with crashes on record, a start without an answer counts as one more.
+            if (run.task.crashes.count > 0 && !run.session.answers()) {
+                result = StartResult.Refused(StartRefusal.UNHEALTHY)
+                break
+            }
             result = dependencies.link.start(run.session.listed, startOrderOf(run))
             if (result !is StartResult.Unknown) break
             mayHaveStarted = true
@@ -197,6 +202,7 @@
             when (dependencies.link.stop(worker, run.id, ownership.epoch)) {
                 StopResult.ACCEPTED -> {
                     run.confirmedAtMs = clock.monotonicMs()
+                    run.isStopAccepted = true
                     run.session.wake()
                     return
                 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/TaskCrashes.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/TaskCrashes.kt
@@ -15,11 +15,14 @@
 
     /** Attempts under which a worker has crashed while no other run was a candidate. */
     val certainAttempts = sortedSetOf<Int>()
-    val count: Int get() = sharedAttempts.size + certainAttempts.size
+
+    /** Attempts that may not have been on their worker when it crashed, such as starts without an answer. */
+    val unconfirmedAttempts = sortedSetOf<Int>()
+    val count: Int get() = sharedAttempts.size + certainAttempts.size + unconfirmedAttempts.size
 
     /** Time that the run of the last crash had worked before, in ms, or null if not known. */
     private var lastProvenMs: Long? = null
-    val suspicion: Suspicion get() = suspicionOf(count, certainAttempts.size, lastProvenMs)
+    val suspicion: Suspicion get() = suspicionOf(count, certainAttempts.size, lastProvenMs, unconfirmedAttempts.size)
 
     /** Whether a run since the last crash has worked for as long as a trial takes. */
     var hasPassedTrial = false
@@ -31,21 +34,29 @@
     var waitsSinceMs: Long? = null
 
     /** Whether the crash under the attempt with [number] is counted. */
-    operator fun contains(number: Int): Boolean = number in sharedAttempts || number in certainAttempts
+    operator fun contains(number: Int): Boolean =
+        number in sharedAttempts || number in certainAttempts || number in unconfirmedAttempts
 
     /** Counts the crash under [lost] and returns whether it is new and counts. */
     fun add(
         lost: LostRun,
         isCertain: Boolean,
     ): Boolean {
-        if (lost.attempt in this) return false
+        if (lost.attempt in this || lost.presence == Presence.STOPPING) return false
         // A lasting task meets crashes of other causes as time passes.
         if (isLasting && lost.provenMs >= LASTING_PROVEN_MS) {
             sharedAttempts.clear()
             certainAttempts.clear()
+            unconfirmedAttempts.clear()
             return false
         }
-        (if (isCertain) certainAttempts else sharedAttempts).add(lost.attempt)
+        val attempts =
+            when {
+                lost.presence != Presence.CERTAIN -> unconfirmedAttempts
+                isCertain -> certainAttempts
+                else -> sharedAttempts
+            }
+        attempts += lost.attempt
         lastProvenMs = lost.provenMs
         hasPassedTrial = false
         return true
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -64,6 +64,9 @@
     /** Local monotonic time since which no call was answered, or -1 while the worker is reachable. */
     private var unreachableSinceMs = -1L
 
+    /** Whether all calls without an answer failed because the worker closed or refused the connection. */
+    private var isLostByClosing = false
+
     /** Whether new runs may be started here. */
     val isOpen: Boolean get() = isClaimed && isListed && !listed.isDraining && unreachableSinceMs < 0
 
@@ -93,6 +96,18 @@
     /** Returns the deadline on the worker's clock for an order sent now, in ms. */
     fun nextDeadlineMs(): Long = workerClock.nextDeadlineMs()
 
+    /**
+     * Whether the present incarnation of the worker has answered a moment ago or does so now. Tells a start that was lost
+     * on its way from one after which the worker crashed.
+     */
+    suspend fun answers(): Boolean {
+        if (unreachableSinceMs < 0 && clock.monotonicMs() - workerClock.readAtMs < RECENT_ANSWER_MS) return true
+        val worker = listed
+        // Repeats the last acknowledgement, so the ends that the answer lists are listed again by the next renewal.
+        val result = link.renewLeases(worker, ownership.epoch, ends.acknowledgedNumber, null, waitMs = 0)
+        return result is RenewalResult.Renewed && result.incarnationMs == listed.incarnationMs
+    }
+
     /** Whether the next answer at the worker's address may show that the worker crashed while it had runs. */
     val awaitsNextLife: Boolean
         get() = lapsedRuns.isNotEmpty() && clock.monotonicMs() - unreachableSinceMs < NEXT_LIFE_WAIT_MS
@@ -218,8 +233,16 @@
         val now = clock.monotonicMs()
         if (unreachableSinceMs < 0) {
             unreachableSinceMs = now
-            log.record(SchedulerEvent.WORKER_LOST, id, "reason" to result.reason, "runs" to runs.size)
+            isLostByClosing = true
+            log.record(
+                SchedulerEvent.WORKER_LOST,
+                id,
+                "reason" to result.reason,
+                "closed" to result.isClosed,
+                "runs" to runs.size,
+            )
         }
+        isLostByClosing = isLostByClosing && result.isClosed
         if (runs.isNotEmpty() && now > workerClock.leasesExpiredAtMs()) {
             lapsedRuns = lostRuns()
             endIncarnation("lease has lapsed")
@@ -244,7 +267,15 @@
 
     private fun lostRuns(): List<LostRun> =
         runs.values.filter { !it.isOrphaned }.map { run ->
-            LostRun(run.task, run.id.attempt, run.provenMs(workerClock.readAtMs))
+            LostRun(run.task, run.id.attempt, run.provenMs(workerClock.readAtMs), presenceOf(run))
+        }
+
+    // A silent worker may have crashed at any time since, after its runs had ended or their leases had expired.
+    private fun presenceOf(run: Run): Presence =
+        when {
+            run.isStopAccepted -> Presence.STOPPING
+            run.beganMs == null || run.isGangBroken || !isLostByClosing -> Presence.POSSIBLE
+            else -> Presence.CERTAIN
         }
 
     private fun beginNewIncarnation(entry: ListedWorker) {
@@ -293,6 +324,9 @@
         const val EARLY_MS = 2_500
         const val SHORT_WAIT_MS = 700
 
+        // Short against the time between two cuts of a connection.
+        const val RECENT_ANSWER_MS = 300L
+
         // A run of 30 s makes one percent of progress in this time.
         const val CONFIRMATION_WAIT_MS = 300
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CrashEvidence.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CrashEvidence.kt
@@ -53,17 +53,19 @@
 /**
  * Returns what [crashes] of workers under a task, [certain] of them with no other candidate, say about it. One crash may
  * be a coincidence with a worker's own failure, so a task is given up after two certain ones, three with one certain
- * one, or [MAX_CRASHES] of any kind. [provenMs] is the time that its last run had worked, or null if not known: a run
+ * one, or [MAX_CRASHES] of any kind. The [unconfirmed] ones, which may have come before the start arrived or after the
+ * run had ended, count among the last only. [provenMs] is the time that its last run had worked, or null if not known: a run
  * that has passed its trial makes the task a suspect only by a second crash.
  */
 internal fun suspicionOf(
     crashes: Int,
     certain: Int,
     provenMs: Long? = null,
+    unconfirmed: Int = 0,
 ): Suspicion =
     when {
         certain >= MAX_CERTAIN_CRASHES -> Suspicion.CULPRIT
-        crashes >= CRASHES_WITH_CERTAIN_ONE && certain > 0 -> Suspicion.CULPRIT
+        crashes - unconfirmed >= CRASHES_WITH_CERTAIN_ONE && certain > 0 -> Suspicion.CULPRIT
         crashes >= MAX_CRASHES -> Suspicion.CULPRIT
         crashes == 0 -> Suspicion.NONE
         crashes == 1 && provenMs != null && provenMs >= TRIAL_MS -> Suspicion.NONE
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
@@ -92,8 +92,10 @@
     /** A different incarnation of the worker answers at the address. */
     public data object OtherIncarnation : RenewalResult
 
+    /** No usable answer. [isClosed] tells whether the connection was closed or refused, as when a process has ended. */
     public data class Unreachable(
         val reason: String,
+        val isClosed: Boolean = false,
     ) : RenewalResult
 }
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -92,10 +92,10 @@
         spares: ArrayDeque<String>,
     ) {
         worker.crash()
-        worker.isReachable = false
+        worker.isDown = true
         background.launch {
             delay(worker.restartMs)
-            worker.isReachable = true
+            worker.isDown = false
             worker.isReplaced = true
             deregisteredWorkers += worker.id
             spares.removeFirstOrNull()?.let { deregisteredWorkers -= it }
@@ -195,10 +195,12 @@
             waitMs: Int,
         ): RenewalResult {
             val target = reach(worker) ?: return RenewalResult.Unreachable("cut off")
+            if (target.isDown) return RenewalResult.Unreachable("refused", isClosed = true)
             if (target.isReplaced) return RenewalResult.OtherIncarnation
             val result =
                 occupying { target.renewLeases(fence, lastSeen, deadlineMs, waitMs) }
                     ?: return RenewalResult.Unreachable("no answer in time")
+            if (target.isDown) return RenewalResult.Unreachable("closed", isClosed = true)
             delay(renewalAnswerMs + answerDelayMs(result))
             return if (dropsRenewalAnswers || reach(worker) == null) RenewalResult.Unreachable("cut off") else result
         }
@@ -209,6 +211,7 @@
         ): StartResult {
             onStart(order)
             val target = reach(worker) ?: return StartResult.Unknown("cut off")
+            if (target.isDown) return StartResult.Unknown("refused")
             if (target.isReplaced) return StartResult.Refused(StartRefusal.OTHER_LIFE)
             val result = occupying { target.start(order) } ?: return StartResult.Unknown("no answer in time")
             return result.also { if (it is StartResult.Unknown) delay(LOST_CALL_DELAY_MS) }
@@ -220,7 +223,7 @@
             fence: Long,
         ): StopResult {
             delay(stopDelayMs)
-            val target = reach(worker) ?: return StopResult.UNKNOWN
+            val target = reach(worker)?.takeIf { !it.isDown } ?: return StopResult.UNKNOWN
             if (target.isReplaced) return StopResult.OTHER_LIFE
             return occupying { target.stop(run, fence) } ?: StopResult.UNKNOWN
         }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -58,6 +58,13 @@
 
     /** Whether calls reach the worker. Its runs continue while they do not. */
     var isReachable = true
+
+    /** Whether the process has ended, so that its connections are closed and new ones are refused. */
+    var isDown = false
+        set(value) {
+            field = value
+            endSignal.value++
+        }
     var isDraining = false
 
     /** Announced time of leaving on the worker's clock, or null. */
@@ -90,10 +97,10 @@
     /** Called when a run has crashed the worker; by default it is back under its id after [restartMs]. */
     var onDeadlyRun: () -> Unit = {
         crash()
-        isReachable = false
+        isDown = true
         scope.launch {
             delay(restartMs)
-            isReachable = true
+            isDown = false
         }
     }
 
