Read all pages of a worker's ends before taking runs for gone

Cause: a worker lists at most 500 ends in one answer, and the session read an answer as all there is. A new owner settled every task of the earlier one that was neither running nor among the first 500 ends; an owner that stays took such runs for gone.

Why it works: an answer says whether the list may go on. While it may, no run is gone and the tasks of earlier owners wait, also beyond the time after which earlier leases have expired; the next renewal acknowledges the page and brings the next.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/CrashControl.kt
@@ -39,7 +39,7 @@
     }
 
     /** Counts the crash that has ended runs of earlier owners, those of [unresolved], before [session]'s worker was claimed. */
-    fun onClaimed(
+    fun onSettled(
         session: WorkerSession,
         unresolved: List<Task>,
     ) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -127,7 +127,7 @@
         val waitMs = settings.maxRenewalAgeMs - settings.leaseTtlMs + longestRunLeaseMs + EXPIRY_MARGIN_MS
         if (isExpiryReported || dependencies.clock.monotonicMs() - startedAtMs < waitMs) return
         isExpiryReported = true
-        runs.onEarlierLeasesExpired()
+        runs.onEarlierLeasesExpired(sessions.filter { it.isClaimed && !it.isSettled }.mapTo(HashSet()) { it.id })
     }
 
     private companion object {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -215,9 +215,12 @@
         replan()
     }
 
-    /** Called once every lease that earlier owners granted has expired. */
-    fun onEarlierLeasesExpired() {
-        val open = jobRegistry.unresolvedTasks()
+    /**
+     * Called once every lease that earlier owners granted has expired. [unsettled] are the workers that are still listing
+     * ends, among which may be those of the tasks.
+     */
+    fun onEarlierLeasesExpired(unsettled: Set<String>) {
+        val open = jobRegistry.unresolvedTasks().filter { it.unresolvedWorker !in unsettled }
         log.record(SchedulerEvent.TAKEOVER_CLEAR, dependencies.settings.instance, "tasks" to open.size)
         settle(open)
     }
@@ -238,9 +241,9 @@
             .forEach(orders::stopInNewIncarnation)
     }
 
-    override fun onClaimed(session: WorkerSession) {
+    override fun onSettled(session: WorkerSession) {
         val unresolved = jobRegistry.unresolvedTasksOn(session.id)
-        crashControl.onClaimed(session, unresolved)
+        crashControl.onSettled(session, unresolved)
         settle(unresolved)
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/SessionListener.kt
@@ -45,8 +45,8 @@
      */
     fun onNewIncarnation(session: WorkerSession)
 
-    /** The worker has accepted the fencing token, and all its runs have been reported. */
-    fun onClaimed(session: WorkerSession)
+    /** The worker has accepted the fencing token, and all its runs and ends have been reported. */
+    fun onSettled(session: WorkerSession)
 
     /** The worker's listing was processed; free resources and progress may have changed. */
     fun onListed(session: WorkerSession)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -39,6 +39,10 @@
     /** Whether the worker is known to have accepted this owner's fencing token. */
     var isClaimed = false
         private set
+
+    /** Whether the worker has listed every end from before it was claimed, so that what is neither listed nor ended is gone. */
+    var isSettled = false
+        private set
     val runs = LinkedHashMap<RunId, Run>()
 
     /** Number of failed runs since the last success. */
@@ -136,7 +140,7 @@
     }
 
     private fun isIdle(): Boolean =
-        isClaimed && hasNoRuns() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
+        isSettled && hasNoRuns() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
 
     private fun hasNoRuns(): Boolean = runs.isEmpty() && foreignNeed == Resources()
 
@@ -155,7 +159,7 @@
         val storedEnd = ends.lastStored(listener.storedSequence)
         val hasUnstored = ends.hasPendingAfter(storedEnd)
         // A worker that answers again is not asked to hold the answer: the leases are extended by the call after it.
-        val isWaiting = isClaimed && !hasNoRuns() && !hasUnstored && unreachableSinceMs < 0
+        val isWaiting = isSettled && !hasNoRuns() && !hasUnstored && unreachableSinceMs < 0
         val waitMs = if (isWaiting) maxWaitMs(clock.monotonicMs()) else 0
         val sentAtMs = clock.monotonicMs()
         val deadlineMs = if (isClaimed && runs.isNotEmpty() && canExtendLeases(sentAtMs)) nextDeadlineMs() else null
@@ -200,8 +204,13 @@
         ends.acknowledge(storedEnd)
         ends.addNew(renewed.ends) { listener.onEnd(this, it) }
         val present = renewed.present.associateBy { it.id }
-        runs.values.filter { run -> (run.confirmedAtMs ?: Long.MAX_VALUE) < sentAtMs && run.id !in present }.forEach {
-            listener.onGone(it, "not listed by the worker")
+        if (!renewed.mayHaveMoreEnds) {
+            runs.values
+                .filter { run ->
+                    (run.confirmedAtMs ?: Long.MAX_VALUE) < sentAtMs && run.id !in present
+                }.forEach {
+                    listener.onGone(it, "not listed by the worker")
+                }
         }
         val (known, unknown) = present.values.partition { it.id in runs }
         known.forEach { runs.getValue(it.id).observe(it, sinceListedMs, clock.monotonicMs()) }
@@ -214,8 +223,12 @@
                 "epoch" to ownership.epoch,
                 "present" to present.size,
                 "ends" to renewed.ends.size,
+                "more" to renewed.mayHaveMoreEnds,
             )
-            listener.onClaimed(this)
+        }
+        if (!isSettled && !renewed.mayHaveMoreEnds) {
+            isSettled = true
+            listener.onSettled(this)
         }
         listener.onListed(this)
         awaitStored()
@@ -296,6 +309,7 @@
 
     private fun resetIncarnation() {
         isClaimed = false
+        isSettled = false
         ends.reset()
         foreignNeed = Resources()
         workerClock.forgetDeadlines()
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
@@ -77,13 +77,15 @@
 public sealed interface RenewalResult {
     /**
      * The leases are renewed. [clockMs] is the time on the worker's clock, [present] lists the runs on the worker, and
-     * [ends] the ends that are not acknowledged yet.
+     * [ends] the ends that are not acknowledged yet, in the order of their numbers. With [mayHaveMoreEnds] the list of
+     * ends may be cut off; the others are listed once these are acknowledged.
      */
     public data class Renewed(
         val clockMs: Long,
         val incarnationMs: Long,
         val present: List<PresentRun>,
         val ends: List<RunEndRecord>,
+        val mayHaveMoreEnds: Boolean = false,
     ) : RenewalResult
 
     /** The worker has seen a higher fencing token. */
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -123,6 +123,9 @@
         return !used.fitsIn(capacity) && (isShown || !used.fitsIn(capacityBefore))
     }
 
+    /** Most ends in one listing. */
+    var maxListedEnds = 500
+
     var needOf: (StartOrder) -> Resources = { Resources(1_000, 1_000, 1) }
     var startAnswersToDrop = 0
 
@@ -282,7 +285,9 @@
             withTimeoutOrNull(waitMs.toLong()) { endSignal.first { it != seen } }
         }
         val present = runs.map { (run, state) -> PresentRun(run, "", percentOf(state)) }
-        return RenewalResult.Renewed(clock.monotonicMs(), 1_000L + incarnation, present, ends.toList())
+        val listed = ends.take(maxListedEnds)
+        val isFull = listed.size == maxListedEnds
+        return RenewalResult.Renewed(clock.monotonicMs(), 1_000L + incarnation, present, listed, isFull)
     }
 
     /** Progress in whole percent, as the platform's workers list it. */
