Store the cancelling of a job that is not stored yet

Cause: a submission without an answer may be performed by the store seconds later. Its caller gives the job up and cancels it; the cancelling read no row, changed nothing and was acknowledged, and the condition of the late write, that no row exists, still held.

Why it works: the cancelling is stored under the id before it is acknowledged, so the late write conflicts with it. The owner removes the records after the retention time of ended jobs.

The cancelling of jobs and the reading of their rows move into files of their own.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
@@ -35,6 +35,8 @@
     private val maxRowBytes = settings.maxRowBytes
     private val limits = JobLimits(maxRowBytes)
     private val endedStates = EndedStateCache()
+    private val rows = JobRowReader(store, clock, log, isStoreUnavailable)
+    private val cancellation = JobCancellation(store, rows, clock, log, isStoreUnavailable)
     private var lengthsByQueue: Map<String, Int> = emptyMap()
     private var lengthsCountedAtMs = Long.MIN_VALUE / 2
     private var lengthsReadAtMs = Long.MIN_VALUE / 2
@@ -55,12 +57,18 @@
         val value = Rows.encode(AcceptedJob(spec, clock.wallMs()))
         val bytes = value.encodeToByteArray().size
         if (bytes > maxRowBytes) return SubmitResult.Invalid("the job has $bytes bytes, more than $maxRowBytes")
-        val write = RowTransaction(listOf(RowCondition(key, 0)), listOf(RowWrite(key, value)))
+        var expectedVersion = 0L
         var isUncertain = false
         while (true) {
+            val write = RowTransaction(listOf(RowCondition(key, expectedVersion)), listOf(RowWrite(key, value)))
             when (val result = store.commit(write)) {
                 is CommitResult.Committed -> return accepted(spec, "version" to result.version, isRepeat = false)
-                is CommitResult.Conflicted -> return onConflict(spec, result.rows.firstOrNull())
+                is CommitResult.Conflicted -> {
+                    val row = result.rows.firstOrNull()
+                    val isOtherWorkspaces = row != null && cancelledFor(row)?.contains(spec.workspace) == false
+                    if (!isOtherWorkspaces) return onConflict(spec, row)
+                    expectedVersion = row.version
+                }
                 is CommitResult.Rejected -> return SubmitResult.Invalid(result.reason)
                 is CommitResult.Unavailable -> if (!isUncertain) return SubmitResult.NotAccepted(result.reason)
                 is CommitResult.Unknown -> isUncertain = true
@@ -75,7 +83,7 @@
 
     /** Accepts [spec] only if an earlier call has stored it, since a refusal says that the job never runs. */
     private suspend fun repeatOrTooMuch(spec: JobSpec): SubmitResult =
-        when (val row = readRow(clock.monotonicMs() + MAX_WAIT_MS) { store.read(Rows.job(spec.id)) }) {
+        when (val row = rows.read(Rows.job(spec.id), clock.monotonicMs() + MAX_WAIT_MS)) {
             is LookupResult.Found -> onConflict(spec, row.value)
             LookupResult.NoSuchJob -> SubmitResult.TooMuchOpenWork
             is LookupResult.Unavailable -> SubmitResult.NotAccepted(row.reason)
@@ -102,6 +110,10 @@
         spec: JobSpec,
         row: StoredRow?,
     ): SubmitResult {
+        if (row != null && cancelledFor(row)?.contains(spec.workspace) == true) {
+            log.record(SchedulerEvent.JOB_CANCEL_ACCEPTED, spec.id, "version" to row.version, "late" to true)
+            return SubmitResult.Cancelled
+        }
         val stored = row?.let { Rows.decodeJob(it.value) }
         if (stored == null) return SubmitResult.NotAccepted("the row of the id holds something else")
         if (stored.spec.workspace !=
@@ -121,9 +133,9 @@
         val endMs = clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS)
         endedStates[id]?.let { (jobWorkspace, state) -> return stateIfVisible(jobWorkspace, workspace, state) }
         if (isStoreUnavailable()) return LookupResult.Unavailable(STORE_UNAVAILABLE_REASON)
-        return when (val progress = readRow(endMs) { store.read(Rows.progress(id)) }) {
+        return when (val progress = rows.read(Rows.progress(id), endMs)) {
             is LookupResult.Found -> {
-                val stored = Rows.decodeProgress(progress.value.value) ?: return unreadable(progress.value)
+                val stored = Rows.decodeProgress(progress.value.value) ?: return rows.unreadable(progress.value)
                 if (stored.state.isEnded) endedStates[id] = stored.workspace to stored.state
                 stateIfVisible(stored.workspace, workspace, stored.state)
             }
@@ -138,82 +150,38 @@
         workspace: String,
         endMs: Long,
     ): LookupResult<JobState> =
-        when (val row = readRow(endMs) { store.read(Rows.job(id)) }) {
-            is LookupResult.Found -> {
-                val stored = Rows.decodeJob(row.value.value) ?: return unreadable(row.value)
-                stateIfVisible(
-                    stored.spec.workspace,
-                    workspace,
-                    if (stored.isCancelled) JobState.CANCELLED else JobState.QUEUED,
-                )
-            }
+        when (val row = rows.read(Rows.job(id), endMs)) {
+            is LookupResult.Found -> stateOf(row.value, workspace)
             LookupResult.NoSuchJob -> LookupResult.NoSuchJob
             is LookupResult.Unavailable -> row
             is LookupResult.Unknown -> row
         }
 
+    private fun stateOf(
+        row: StoredRow,
+        workspace: String,
+    ): LookupResult<JobState> {
+        if (cancelledFor(row) != null) return LookupResult.NoSuchJob
+        val stored = Rows.decodeJob(row.value) ?: return rows.unreadable(row)
+        val state = if (stored.isCancelled) JobState.CANCELLED else JobState.QUEUED
+        return stateIfVisible(stored.spec.workspace, workspace, state)
+    }
+
     private fun stateIfVisible(
         jobWorkspace: String,
         workspace: String,
         state: JobState,
     ): LookupResult<JobState> = if (jobWorkspace == workspace) LookupResult.Found(state) else LookupResult.NoSuchJob
 
-    private fun unreadable(row: StoredRow): LookupResult<Nothing> {
-        log.record(SchedulerEvent.JOB_UNREADABLE, row.key.key, "table" to row.key.table, "version" to row.version)
-        return LookupResult.Unavailable("the stored job cannot be read")
-    }
-
     /**
      * Marks a job as cancelled; retries for [timeoutMs] ms, but at most [MAX_WAIT_MS]. The owner then stops its runs.
+     * [LookupResult.NoSuchJob] also says that a submission under [id] that is still under way will not be stored.
      */
     public suspend fun cancel(
         id: String,
         workspace: String,
         timeoutMs: Long,
-    ): LookupResult<Unit> {
-        val endMs = clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS)
-        var isUncertain = false
-        while (true) {
-            if (isStoreUnavailable()) return cancelFailed(id, STORE_UNAVAILABLE_REASON, isUncertain)
-            val row =
-                when (val read = readRow(endMs) { store.read(Rows.job(id)) }) {
-                    is LookupResult.Found -> read.value
-                    LookupResult.NoSuchJob -> return LookupResult.NoSuchJob
-                    is LookupResult.Unavailable, is LookupResult.Unknown -> null
-                }
-            if (row != null) {
-                val stored = Rows.decodeJob(row.value) ?: return unreadable(row)
-                if (stored.spec.workspace != workspace) return LookupResult.NoSuchJob
-                val result = if (stored.isCancelled) null else writeCancelled(row, stored)
-                if (result == null || result is CommitResult.Committed) {
-                    log.record(SchedulerEvent.JOB_CANCEL_ACCEPTED, id, "version" to row.version)
-                    return LookupResult.Found(Unit)
-                }
-                if (result is CommitResult.Unknown) isUncertain = true
-            }
-            if (clock.monotonicMs() >= endMs) return cancelFailed(id, "the store did not answer in time", isUncertain)
-            delay(RETRY_DELAY_MS)
-        }
-    }
-
-    private fun cancelFailed(
-        id: String,
-        reason: String,
-        isUncertain: Boolean,
-    ): LookupResult<Nothing> {
-        if (!isUncertain) return LookupResult.Unavailable(reason)
-        log.record(SchedulerEvent.JOB_OUTCOME_UNKNOWN, id, "call" to "cancel", "reason" to reason)
-        return LookupResult.Unknown(reason)
-    }
-
-    private suspend fun writeCancelled(
-        row: StoredRow,
-        stored: AcceptedJob,
-    ): CommitResult {
-        val value = Rows.encode(stored.copy(isCancelled = true))
-        val write = RowTransaction(listOf(RowCondition(row.key, row.version)), listOf(RowWrite(row.key, value)))
-        return store.commit(write)
-    }
+    ): LookupResult<Unit> = cancellation.cancel(id, workspace, clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS))
 
     /**
      * Returns the number of jobs of [queue] that have not started, counted at most [MAX_LENGTHS_AGE_MS] ms ago, or null
@@ -232,39 +200,10 @@
         return if (clock.monotonicMs() - lengthsCountedAtMs > MAX_LENGTHS_AGE_MS) null else lengthsByQueue[queue] ?: 0
     }
 
-    /**
-     * Reads a row until [endMs] on the monotonic clock, at least twice. Ends sooner when the store is known not to answer
-     * this instance.
-     */
-    private suspend fun readRow(
-        endMs: Long,
-        read: suspend () -> ScanResult,
-    ): LookupResult<StoredRow> {
-        var attempts = 0
-        while (true) {
-            attempts++
-            val reason =
-                when (val scan = read()) {
-                    is ScanResult.Rows -> return scan.rows.firstOrNull()?.let { LookupResult.Found(it) }
-                        ?: LookupResult.NoSuchJob
-                    is ScanResult.Unavailable -> scan.reason
-                }
-            val isOver = isStoreUnavailable() || clock.monotonicMs() >= endMs
-            if (isOver && attempts >= MIN_READ_ATTEMPTS) return LookupResult.Unavailable(reason)
-            if (!isOver) delay(RETRY_DELAY_MS)
-        }
-    }
-
     private companion object {
-        const val RETRY_DELAY_MS = 60L
-        const val STORE_UNAVAILABLE_REASON = "the store does not answer this instance"
-
         // Leaves the caller about half of its usual deadline of 3 s to retry with another instance.
         const val MAX_WAIT_MS = 1_400L
 
-        // One lost answer does not show that the store is unavailable.
-        const val MIN_READ_ATTEMPTS = 2
-
         // Limits the reads from the store when many callers ask.
         const val LENGTHS_CACHE_MS = 300L
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobResults.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobResults.kt
@@ -18,6 +18,9 @@
      */
     public data object TooMuchOpenWork : SubmitResult
 
+    /** The workspace has cancelled the job before it was stored. It is not stored and never runs. */
+    public data object Cancelled : SubmitResult
+
     /** The job is not stored and this call will not store it later either. */
     public data class NotAccepted(
         val reason: String,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
@@ -131,6 +131,16 @@
     public fun chainFromMs(step: Int): Long = chainsFromMs[step]
 }
 
+/**
+ * Stored under the id of a job that was cancelled before it was stored, so that a submission which is still under way
+ * cannot take effect. [cancelledMs] is Unix ms.
+ */
+@Serializable
+public data class CancelledSubmission(
+    val workspaces: Set<String>,
+    val cancelledMs: Long,
+)
+
 /**
  * Stored record of an accepted job, written by the accepting instance and updated by a cancellation. [acceptedMs] is
  * Unix ms.
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
@@ -1,6 +1,7 @@
 package org.orioleferry.scheduler.owner
 
 import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.model.CancelledSubmission
 import org.orioleferry.scheduler.model.JobLimits
 import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.store.CommitResult
@@ -25,6 +26,14 @@
     val activeJobs: Collection<Job> get() = activeJobsById.values
     private val activeJobsById = LinkedHashMap<String, Job>()
 
+    /** Ids that were cancelled before their jobs were stored. */
+    private val cancelledSubmissions = HashMap<String, CancelledRow>()
+
+    private class CancelledRow(
+        val cancelledMs: Long,
+        val version: Long,
+    )
+
     operator fun get(id: String): Job? = jobs[id]
 
     fun load(
@@ -42,9 +51,11 @@
         if (row.key.key in setAsideIds) return null
         val accepted = Rows.decodeJob(row.value)
         if (accepted == null) {
-            recordUnreadable(row)
+            val cancelled = Rows.decodeCancelled(row.value)
+            if (cancelled == null) recordUnreadable(row) else addCancelled(row, cancelled)
             return null
         }
+        cancelledSubmissions.remove(row.key.key)
         val stored = progress?.let { Rows.decodeProgress(it.value) }
         if (progress != null && stored == null) {
             // Without its progress, tasks that are done or running would be started again.
@@ -70,6 +81,13 @@
         return job
     }
 
+    private fun addCancelled(
+        row: StoredRow,
+        cancelled: CancelledSubmission,
+    ) {
+        cancelledSubmissions[row.key.key] = CancelledRow(cancelled.cancelledMs, row.version)
+    }
+
     private fun recordUnreadable(row: StoredRow) =
         dependencies.log.record(
             SchedulerEvent.JOB_UNREADABLE,
@@ -127,11 +145,13 @@
     ) {
         val ids = rows.mapTo(HashSet()) { it.key.key }
         jobs.values.filter { it.acceptedVersion <= version && it.id !in ids }.forEach { remove(it.id) }
+        cancelledSubmissions.entries.removeIf { (id, row) -> row.version <= version && id !in ids }
     }
 
     private fun remove(id: String) {
         jobs.remove(id)
         activeJobsById.remove(id)
+        cancelledSubmissions.remove(id)
     }
 
     /** Returns the tasks of which an earlier owner's run may still exist on a worker. */
@@ -178,6 +198,7 @@
     /** Removes the rows of ended jobs whose state no longer has to be readable. */
     suspend fun purge() {
         val cutoffMs = dependencies.clock.wallMs() - dependencies.settings.statusRetentionMs - PURGE_SLACK_MS
+        if (!purgeCancelled(cutoffMs)) return
         val purgeable =
             jobs.values.filter { it.state.isEnded && it.endedMs in 1 until cutoffMs && it.liveRunCount == 0 }.take(
                 MAX_PURGED_JOBS,
@@ -195,6 +216,21 @@
         }
     }
 
+    /** Removes the cancelled submissions from before [cutoffMs]. Returns false if the store did not take a removal. */
+    private suspend fun purgeCancelled(cutoffMs: Long): Boolean {
+        val purgeable = cancelledSubmissions.filterValues { it.cancelledMs < cutoffMs }.entries.take(MAX_PURGED_JOBS)
+        purgeable.forEach { (id, row) ->
+            val key = Rows.job(id)
+            val removal = RowTransaction(listOf(RowCondition(key, row.version)), removals = listOf(key))
+            when (dependencies.store.commit(removal)) {
+                // A changed row is followed by the feed.
+                is CommitResult.Committed, is CommitResult.Conflicted -> cancelledSubmissions.remove(id, row)
+                else -> return false
+            }
+        }
+        return true
+    }
+
     private companion object {
         // Tolerance for callers that ask shortly after the retention time.
         const val PURGE_SLACK_MS = 30_000L
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/Rows.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/Rows.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.orioleferry.scheduler.model.AcceptedJob
+import org.orioleferry.scheduler.model.CancelledSubmission
 import org.orioleferry.scheduler.model.JobProgress
 
 /**
@@ -57,12 +58,19 @@
 
     public fun encode(job: AcceptedJob): String = json.encodeToString(AcceptedJob.serializer(), job)
 
+    public fun encode(cancelled: CancelledSubmission): String =
+        json.encodeToString(CancelledSubmission.serializer(), cancelled)
+
     public fun encode(progress: JobProgress): String = json.encodeToString(JobProgress.serializer(), progress)
 
     /** Returns null when the value cannot be decoded. */
     public fun decodeJob(value: String): AcceptedJob? =
         decode { json.decodeFromString(AcceptedJob.serializer(), value) }
 
+    /** Returns null when the value is not a cancelled submission. */
+    public fun decodeCancelled(value: String): CancelledSubmission? =
+        decode { json.decodeFromString(CancelledSubmission.serializer(), value) }
+
     /** Returns null when the value cannot be decoded. */
     public fun decodeProgress(value: String): JobProgress? =
         decode { json.decodeFromString(JobProgress.serializer(), value) }
