Store the policy of a job's queue with the job

Cause: a job kept the name and service of its queue. Attempts, priority, objective and advice were looked up in the newest manifest, and defaults stood for a queue that it lacks.

Why it works: the policy is stored when the job is accepted, and is used once the newest manifest lacks the queue. So a new owner, or a process that never saw the queue, knows it as well.

Jobs of a removed queue keep their priority now; before they ran after all other work.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobSpec.kt
@@ -97,7 +97,10 @@
     public fun dueMs(occurrence: Int): Long = firstDueMs + occurrence * periodMs
 }
 
-/** A job as a caller submits it. [payload] is passed to the workers unchanged. */
+/**
+ * A job as a caller submits it. [payload] is passed to the workers unchanged. [policy] is that of the queue at the
+ * submission, null in jobs that were stored without one.
+ */
 @Serializable
 public data class JobSpec(
     val id: String,
@@ -107,6 +110,7 @@
     val payload: String,
     val steps: List<StepSpec>,
     val schedule: JobSchedule? = null,
+    val policy: QueuePolicy? = null,
 ) {
     /** Number of times that the steps run. */
     val occurrences: Int get() = schedule?.occurrences ?: 1
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/Manifest.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/Manifest.kt
@@ -1,5 +1,25 @@
 package org.orioleferry.scheduler.model
 
+import kotlinx.serialization.Serializable
+
+/**
+ * The terms on which the jobs of a queue are run, see [Queue]. Stored with each job, since the queue may be removed while
+ * the job runs.
+ */
+@Serializable
+public data class QueuePolicy(
+    val priority: Int,
+    val maxAttempts: Int,
+    val stretch: Double = 1.0,
+    val objectiveOffsetMs: Long = 0,
+    val advice: AdviceLatency? = null,
+) {
+    public companion object {
+        /** For jobs of a removed queue that were stored without a policy; they run after all other work. */
+        public val DEFAULT: QueuePolicy = QueuePolicy(priority = 9, maxAttempts = 3)
+    }
+}
+
 /**
  * A queue of jobs.
  *
@@ -22,9 +42,12 @@
     val timeoutMs: Long,
     val isPublic: Boolean,
     val advice: AdviceLatency? = null,
-)
+) {
+    public val policy: QueuePolicy get() = QueuePolicy(priority, maxAttempts, stretch, objectiveOffsetMs, advice)
+}
 
 /** Response time of the advice service for a queue: [decisionMs] plus [perWorkerMs] for each worker, in ms. */
+@Serializable
 public data class AdviceLatency(
     val decisionMs: Long,
     val perWorkerMs: Long,
@@ -60,6 +83,9 @@
 
     public fun queue(name: String): Queue? = queuesByName[name]
 
+    /** Returns the policy of [job]'s queue, or the one with which the job was accepted once the queue is removed. */
+    public fun policyOf(job: JobSpec): QueuePolicy = queue(job.queue)?.policy ?: job.policy ?: QueuePolicy.DEFAULT
+
     public fun workspaceOf(key: String): Workspace? = workspaceByKey[key]
 
     public fun workspace(name: String): Workspace? = workspacesByName[name]
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
@@ -87,12 +87,14 @@
         val spec = step.spec
         val now = clock.monotonicMs()
         val width = waiting.tasks.size
-        val queue = manifest.queue(step.job.accepted.spec.queue)
+        val job = step.job.accepted.spec
+        val service = manifest.queue(job.queue)?.service ?: job.service
+        val advice = manifest.policyOf(job).advice
         val isTrial = trial != TrialPlacement.NONE
         if (!isTrial && !isReserved(step, width, now)) step.reserved = emptyList()
         return Demand(
             key = waiting,
-            service = queue?.service ?: step.job.accepted.spec.service,
+            service = service,
             rank = ranks.of(step.job),
             position = positionOf(step),
             need = step.countedNeed,
@@ -112,7 +114,7 @@
             hasLatencyTarget = spec.latencyTargetMs > 0,
             usesSpareCpu = spec.usesSpareCpu,
             reserved = if (isTrial) emptyList() else step.reserved.map { it.id },
-            allowed = queue?.advice?.let { latency -> tickets.allowedWorkers(step, latency, usableOf(queue.service)) },
+            allowed = advice?.let { latency -> tickets.allowedWorkers(step, latency, usableOf(service)) },
             trial = trial,
         )
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
@@ -191,8 +191,9 @@
      * begins at the acceptance, or at the due time of each occurrence of a scheduled job.
      */
     fun objectiveMsOf(job: Job): Long {
-        val queue = dependencies.manifest()?.queue(job.accepted.spec.queue)
-        return (job.accepted.spec.longestChainMs * (queue?.stretch ?: 1.0)).toLong() + (queue?.objectiveOffsetMs ?: 0)
+        val spec = job.accepted.spec
+        val policy = dependencies.policyOf(spec)
+        return (spec.longestChainMs * policy.stretch).toLong() + policy.objectiveOffsetMs
     }
 
     /** Removes the rows of ended jobs whose state no longer has to be readable. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -9,7 +9,9 @@
 import org.orioleferry.scheduler.DecisionLog
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.SchedulerSettings
+import org.orioleferry.scheduler.model.JobSpec
 import org.orioleferry.scheduler.model.Manifest
+import org.orioleferry.scheduler.model.QueuePolicy
 import org.orioleferry.scheduler.store.FeedResult
 import org.orioleferry.scheduler.store.RowStore
 import org.orioleferry.scheduler.store.Rows
@@ -33,7 +35,10 @@
     public val settings: SchedulerSettings,
     public val log: DecisionLog,
     public val advice: AdviceService? = null,
-)
+) {
+    /** Returns the policy under which [job] is run now. */
+    internal fun policyOf(job: JobSpec): QueuePolicy = manifest()?.policyOf(job) ?: job.policy ?: QueuePolicy.DEFAULT
+}
 
 /**
  * One term of ownership: reads the rows, claims the workers, and then places tasks until cancelled.
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -180,7 +180,7 @@
         if (!ownership.canDecide) return
         val step = placed.step
         val isGangTrial = step.spec.isGang && placed.tasks.any { it.crashes.needsTrial }
-        val isUrgent = dependencies.manifest()?.queue(step.job.accepted.spec.queue)?.priority == 0
+        val isUrgent = dependencies.policyOf(step.job.accepted.spec).priority == 0
         val racks = workers.mapNotNullTo(HashSet()) { fleet[it]?.listed?.rack }
         val isAcrossRacks = step.spec.sameRack && racks.size > 1
         val gangAttempt = if (step.spec.isGang) step.tasks.maxOf { orders.nextAttempt(it) } else 0
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ranks.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ranks.kt
@@ -23,10 +23,5 @@
         return if (priority == Rank.URGENT && job.accepted.spec.workspace in guaranteed) Rank.GUARANTEED else priority
     }
 
-    private fun priorityOf(job: Job): Int = manifest.queue(job.accepted.spec.queue)?.priority ?: LOWEST_PRIORITY
-
-    private companion object {
-        // Jobs of a queue that the manifest no longer contains run after all other work.
-        const val LOWEST_PRIORITY = 9
-    }
+    private fun priorityOf(job: Job): Int = manifest.policyOf(job.accepted.spec).priority
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -112,7 +112,7 @@
         if (task.step.spec.isLasting || task.isDone) return writer.latestSequence
         task.failedAttempts += attempt
         stopGangMembersOfAttempt(task, RunId(task.id, attempt))
-        val limit = dependencies.manifest()?.queue(job.accepted.spec.queue)?.maxAttempts ?: DEFAULT_ATTEMPTS
+        val limit = dependencies.policyOf(job.accepted.spec).maxAttempts
         if (task.step.failuresOf(task) < limit) return writer.markChanged(job)
         val changeSequence =
             jobRegistry.end(
@@ -179,7 +179,7 @@
         run.firstPercent = present.percent
         run.confirmedAtMs = clock.monotonicMs()
         run.beganMs = run.confirmedAtMs
-        run.isUrgent = dependencies.manifest()?.queue(run.queue)?.priority == 0
+        run.isUrgent = dependencies.policyOf(task.step.job.accepted.spec).priority == 0
         orders.attach(run)
         task.step.job.hasStarted = true
         task.unresolvedWorker = ""
@@ -309,6 +309,5 @@
 
         // A worker on which runs fail in a row is tried again after this time.
         const val FAILING_PAUSE_MS = 4_000L
-        const val DEFAULT_ATTEMPTS = 3
     }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -279,7 +279,9 @@
         vararg steps: StepSpec,
     ): SubmitResult {
         this.steps[id] = steps.toList()
-        return instance.jobApi.submit(JobSpec(id, queue, "pool", "team", "payload", steps.toList()), 2_000)
+        val policy = manifest.queue(queue)?.policy
+        val job = JobSpec(id, queue, "pool", "team", "payload", steps.toList(), policy = policy)
+        return instance.jobApi.submit(job, 2_000)
     }
 
     suspend fun stateOf(
