--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashingTasksTest.kt
@@ -7,7 +7,6 @@
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.simulation.Outcome
 import org.orioleferry.scheduler.simulation.SimulatedCluster
-import org.orioleferry.scheduler.simulation.SimulatedWorker
 import org.orioleferry.scheduler.workers.TaskId
 import strikt.api.expectThat
 import strikt.assertions.hasSize
@@ -31,11 +30,6 @@
             .values
             .sum()
 
-    private fun SimulatedWorker.crashBehindCut() {
-        crash()
-        isReachable = true
-    }
-
     // Guards against a task that crashes one worker after another for as long as its job lives (BUDGET on omotnica-split).
     @Test
     fun `should give up a task that crashes each worker that starts it`() =
@@ -228,83 +222,6 @@
             expectThat(cluster.records.violations).isEmpty()
         }
 
-    // Guards against a sound job that is shown as failed for starts that never arrived (LOST on omotnica-split, review/1).
-    @Test
-    fun `should not give up a task for starts that were lost before their workers crashed`() =
-        runTest {
-            val cluster = SimulatedCluster(this, workers = 6) { _, _ -> Outcome(6_800) }
-            val one = cluster.Instance("one").also { it.start() }
-            delay(15_000)
-            cluster.submit(one, "sound", "routine", step(1))
-            delay(800)
-            val first =
-                cluster.workers.getValue(
-                    cluster.records
-                        .runsOf("sound")
-                        .single()
-                        .worker,
-                )
-            val others = cluster.workers.values - first
-            cluster.workers.values.forEach { it.isReachable = false }
-            delay(3_000)
-            first.crashBehindCut()
-            delay(2_000)
-            others.forEach { it.crashBehindCut() }
-            delay(30_000)
-            expectThat(cluster.stateOf(one, "sound")).isEqualTo(JobState.COMPLETED)
-            expectThat(cluster.records.violations).isEmpty()
-        }
-
-    // Guards against a sound job that is shown as failed for crashes after the leases of its runs had expired.
-    @Test
-    fun `should not give up a task for workers that crashed after its leases had expired`() =
-        runTest {
-            val cluster = SimulatedCluster(this, workers = 6) { _, _ -> Outcome(6_800) }
-            val one = cluster.Instance("one").also { it.start() }
-            delay(15_000)
-            cluster.submit(one, "sound", "routine", step(1))
-            repeat(3) {
-                delay(1_500)
-                val run = cluster.records.runsOf("sound").last()
-                val worker = cluster.workers.getValue(run.worker)
-                worker.isReachable = false
-                delay(8_500)
-                worker.crashBehindCut()
-            }
-            delay(30_000)
-            expectThat(cluster.stateOf(one, "sound")).isEqualTo(JobState.COMPLETED)
-            expectThat(cluster.records.violations).isEmpty()
-        }
-
-    // Guards against a sound gang that is given up for workers which crashed after another member had ended it.
-    @Test
-    fun `should not take the end of a gang for a crash under each of its members`() =
-        runTest {
-            val cluster = SimulatedCluster(this, workers = 8) { _, _ -> Outcome(6_800) }
-            val one = cluster.Instance("one").also { it.start() }
-            delay(15_000)
-            cluster.submit(one, "sound", "routine", StepSpec(2, SimulatedCluster.WORKER_CAPACITY, 5_000, isGang = true))
-            // A member that is hit once itself and once after the end of its gang.
-            listOf(1, 0).forEachIndexed { at, first ->
-                while (cluster.records.runsOf("sound").size < 2 * (at + 1)) delay(100)
-                delay(800)
-                val runs =
-                    cluster.records
-                        .runsOf("sound")
-                        .takeLast(2)
-                        .sortedBy { it.run.task.index }
-                val hosts = runs.map { cluster.workers.getValue(it.worker) }
-                hosts.forEach { it.isReachable = false }
-                delay(2_000)
-                hosts[first].crashBehindCut()
-                delay(1_000)
-                hosts[1 - first].crashBehindCut()
-            }
-            delay(40_000)
-            expectThat(cluster.stateOf(one, "sound")).isEqualTo(JobState.COMPLETED)
-            expectThat(cluster.records.violations).isEmpty()
-        }
-
     // Guards against a silent, cut off or draining worker that is taken for a crashed one.
     @Test
     fun `should not suspect tasks whose worker was only out of reach`() =
