Acknowledge ends only to an incarnation that has just answered

Cause: a renewal acknowledges the ends up to a number. Ends are numbered anew in each incarnation, calls name the worker by its id only, and the renewal carried the number of the last end of the incarnation before, so the new one discarded ends that nobody had seen.

Why it works: a number above 0 is sent only to a worker whose known incarnation has answered within 0.3 s, less than a restart takes. Other renewals acknowledge nothing, show the incarnation and keep all ends.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/EndAcknowledgements.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/EndAcknowledgements.kt
@@ -7,8 +7,7 @@
     private var processedNumber = 0L
 
     /** Number of the last end that the worker knows to be acknowledged. */
-    var acknowledgedNumber = 0L
-        private set
+    private var acknowledgedNumber = 0L
 
     /** Unacknowledged ends: their number at the worker, and the sequence number of the change to be stored first. */
     private val pending = ArrayDeque<Pair<Long, Long>>()
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -105,13 +105,20 @@
      * on its way from one after which the worker crashed.
      */
     suspend fun answers(): Boolean {
-        if (unreachableSinceMs < 0 && clock.monotonicMs() - workerClock.readAtMs < RECENT_ANSWER_MS) return true
+        if (hasRecentAnswer()) return true
         val worker = listed
-        // Repeats the last acknowledgement, so the ends that the answer lists are listed again by the next renewal.
-        val result = link.renewLeases(worker, ownership.epoch, ends.acknowledgedNumber, null, waitMs = 0)
+        // Acknowledges nothing, so the ends that the answer lists are listed again by the next renewal.
+        val result = link.renewLeases(worker, ownership.epoch, lastSeen = 0, deadlineMs = null, waitMs = 0)
         return result is RenewalResult.Renewed && result.incarnationMs == listed.incarnationMs
     }
 
+    /**
+     * Whether the known incarnation has answered a moment ago, so that the next call cannot reach a later one under the
+     * same id. The ends of each incarnation are numbered anew, so an acknowledgement would discard the ends of a later one.
+     */
+    private fun hasRecentAnswer(): Boolean =
+        isClaimed && unreachableSinceMs < 0 && clock.monotonicMs() - workerClock.readAtMs < RECENT_ANSWER_MS
+
     /** Whether the next answer at the worker's address may show that the worker crashed while it had runs. */
     val awaitsNextLife: Boolean
         get() = lapsedRuns.isNotEmpty() && clock.monotonicMs() - unreachableSinceMs < NEXT_LIFE_WAIT_MS
@@ -156,7 +163,7 @@
         }
 
     private suspend fun renewOnce() {
-        val storedEnd = ends.lastStored(listener.storedSequence)
+        val storedEnd = if (hasRecentAnswer()) ends.lastStored(listener.storedSequence) else 0
         val hasUnstored = ends.hasPendingAfter(storedEnd)
         // A worker that answers again is not asked to hold the answer: the leases are extended by the call after it.
         val isWaiting = isSettled && !hasNoRuns() && !hasUnstored && unreachableSinceMs < 0
@@ -338,7 +345,7 @@
         const val EARLY_MS = 2_500
         const val SHORT_WAIT_MS = 700
 
-        // Short against the time between two cuts of a connection.
+        // Shorter than the restart of a worker, and than the time between two cuts of a connection.
         const val RECENT_ANSWER_MS = 300L
 
         // A run of 30 s makes one percent of progress in this time.
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedStore.kt
@@ -112,6 +112,9 @@
     var readAnswersToLose = 0
     var writes = 0
 
+    /** Time that an answer takes, ms. */
+    var answerMs = ANSWER_MS
+
     override suspend fun scan(
         table: String,
         part: String,
@@ -119,7 +122,7 @@
         until: String?,
         limit: Int,
     ): ScanResult {
-        delay(ANSWER_MS)
+        delay(answerMs)
         if (limit == 1 && readAnswersToLose > 0) {
             readAnswersToLose--
             return ScanResult.Unavailable("lost").also { health.recordCall(false, it.reason) }
@@ -139,7 +142,7 @@
         after: Long,
         waitMs: Int,
     ): FeedResult {
-        delay(ANSWER_MS)
+        delay(answerMs)
         health.recordCall(!isUnavailable, "simulated")
         if (isUnavailable) return FeedResult.Unavailable("away")
         withTimeoutOrNull(waitMs.toLong()) { rows.version.first { rows.changes(table, after)?.isNotEmpty() ?: true } }
@@ -149,7 +152,7 @@
     }
 
     override suspend fun commit(transaction: RowTransaction): CommitResult {
-        delay(ANSWER_MS)
+        delay(answerMs)
         health.recordCall(!isUnavailable, "simulated")
         if (isUnavailable) return CommitResult.Unavailable("away")
         writes++
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -53,6 +53,10 @@
     private val endSignal = MutableStateFlow(0L)
     private var incarnation = 0
 
+    /** Time after a crash for which the directory still shows the incarnation before, ms. */
+    var listingLagMs = 0L
+    private var crashedAtMs = Long.MIN_VALUE / 2
+
     /** Whether orders with a lower token than the highest seen are refused; off to show which faults that prevents. */
     var checksTokens = true
 
@@ -141,7 +145,7 @@
             rack,
             setOf("a", rack),
             capacity,
-            1_000L + incarnation,
+            1_000L + if (clock.monotonicMs() - crashedAtMs < listingLagMs) incarnation - 1 else incarnation,
             isDraining,
             leavesAtMs,
         )
@@ -157,6 +161,7 @@
         token = 0
         deadlineMs = 0
         incarnation++
+        crashedAtMs = clock.monotonicMs()
     }
 
     fun start(order: StartOrder): StartResult {
