Check that a suspect may still be started after its worker was asked

What callers saw: nothing yet.

Cause: asks the worker for an answer before the start of a task with crashes on record, after it was checked that the start is still wanted. The answer takes up to 0.7 s, in which the job may be cancelled, the worker begin to drain or the ownership lapse.

Why it works: the worker is asked first, so nothing is waited for between the check and the order.

Test: CrashesBehindCutsTest "should not start a suspect whose job was cancelled while its worker was asked" failed before (a second run after the cancelling).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -67,17 +67,17 @@
         var result: StartResult = StartResult.Unknown("not sent")
         var mayHaveStarted = false
         for (tryNumber in 1..MAX_START_TRIES) {
+            // Under a task with crashes on record, a start without an answer counts as one more.
+            if (run.task.crashes.count > 0 && !run.session.answers()) {
+                result = StartResult.Refused(StartRefusal.UNHEALTHY)
+                break
+            }
             if (!isStartWanted(run)) break
             // The worker's capacity may have shrunk since the run was planned.
             if (run.session.free.isOverdrawn) {
                 result = StartResult.Refused(StartRefusal.NO_ROOM)
                 break
             }
-            // Under a task with crashes on record, a start without an answer counts as one more.
-            if (run.task.crashes.count > 0 && !run.session.answers()) {
-                result = StartResult.Refused(StartRefusal.UNHEALTHY)
-                break
-            }
             result = dependencies.link.start(run.session.listed, startOrderOf(run))
             if (result !is StartResult.Unknown) break
             mayHaveStarted = true
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashesBehindCutsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashesBehindCutsTest.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.scheduler
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
@@ -9,6 +10,7 @@
 import org.orioleferry.scheduler.simulation.SimulatedCluster
 import org.orioleferry.scheduler.simulation.SimulatedWorker
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 
@@ -20,6 +22,28 @@
         isReachable = true
     }
 
+    // Guards against a start for a cancelled job, on a draining worker or after the ownership has lapsed, since the worker
+    // is asked for an answer between the decision and the order.
+    @Test
+    fun `should not start a suspect whose job was cancelled while its worker was asked`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 2) { _, _ -> Outcome(5_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(15_000)
+            cluster.workers.values.forEach { it.crashesAfterMs = { 10 } }
+            cluster.submit(one, "a", "routine", step)
+            delay(300)
+            val isAsked = CompletableDeferred<Unit>()
+            one.link.answerDelayMs = {
+                isAsked.complete(Unit)
+                600
+            }
+            isAsked.await()
+            one.jobApi.cancel("a", "team", 2_000)
+            delay(5_000)
+            expectThat(cluster.records.runsOf("a")).hasSize(1)
+        }
+
     // Guards against a sound job that is shown as failed for starts that never arrived (LOST on omotnica-split, review/1).
     @Test
     fun `should not give up a task for starts that were lost before their workers crashed`() =
