Bound the leases of a silent worker by its last answer

Tasks of other jobs waited as long.

Cause: each call to a worker asks it to extend the leases to 6 s from then, and the owner has to wait for all that it asked for, since a call without an answer may have arrived. A renewal waits up to 2.7 s for its answer, and the session went on extending for 1.5 s after that, so the last request came 4.2 s after the last answer. Orders to start further tasks on the worker pushed the end on too. Then the session looked at the end of the leases only between calls of 0.7 s and pauses of 0.5 s.

LostWorkerTest loses the power at ten phases of the renewals, with workers that grant 6 s and 10 s and clocks that are exact and 2% slow: 10.64 s in the worst phase before. The simulated worker could not show it, because a call to an unreachable worker failed after 0.7 s also when the worker was allowed to hold the answer for 2 s; it takes 2.7 s now, as in the program.

The call that waits when they end is given up. A worker without earlier runs has nothing to lose, and its bound counts from the first order.

Tests: three of LostWorkerTest failed before. The other three hold before and after: a worker behind a cut of 2.8 s keeps its runs, and no task runs twice behind a cut in both directions or of the answers. The last fails with an assumed clock rate of 1 and no margin.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
@@ -40,6 +40,9 @@
     /** Monotonic time since which the run is known to work, or null while its start has no answer. */
     var beganMs: Long? = null
 
+    /** Whether an order to start the run was sent, so that it may hold a lease. */
+    var isOrdered = false
+
     /** Whether the worker has accepted the order to stop the run. */
     var isStopAccepted = false
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -179,6 +179,7 @@
         run.firstPercent = present.percent
         run.confirmedAtMs = clock.monotonicMs()
         run.beganMs = run.confirmedAtMs
+        run.isOrdered = true
         run.isUrgent = dependencies.policyOf(task.step.job.accepted.spec).priority == 0
         orders.attach(run)
         task.step.job.hasStarted = true
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -78,7 +78,7 @@
                 result = StartResult.Refused(StartRefusal.NO_ROOM)
                 break
             }
-            result = dependencies.link.start(run.session.listed, startOrderOf(run))
+            result = callStart(run)
             if (result !is StartResult.Unknown) break
             mayHaveStarted = true
             log.record(
@@ -98,6 +98,14 @@
         }
     }
 
+    private suspend fun callStart(run: Run): StartResult {
+        val sentAtMs = clock.monotonicMs()
+        val result = dependencies.link.start(run.session.listed, startOrderOf(run))
+        val isAnswered = result !is StartResult.Unknown && result != StartResult.Refused(StartRefusal.OTHER_LIFE)
+        if (isAnswered) run.session.onOrderAnswered(sentAtMs)
+        return result
+    }
+
     /**
      * Whether [run] may be started now. While its start waited for its row, for its turn or for the answer to an earlier
      * try, the ownership may have lapsed, the run may have ended, its worker may have begun to drain, and a worker may
@@ -135,7 +143,7 @@
         StartOrder(
             run = run.id,
             payload = run.task.step.job.accepted.spec.payload,
-            deadlineMs = run.session.nextDeadlineMs(),
+            deadlineMs = run.session.startDeadlineMs(run),
             fence = ownership.epoch,
             checkpoint = run.checkpoint,
             ticket = run.ticket,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
@@ -15,23 +15,38 @@
     var readAtMs = 0L
         private set
 
+    /** Local monotonic time at which the worker was last known to be there, or before which it had no run to lose. */
+    private var provenAtMs = 0L
+
     /** Latest deadline given to the worker, on the worker's clock. */
     private var highestDeadlineMs = 0L
 
     /** Returns the estimated time on the worker's clock, in ms. */
-    fun nowMs(): Long = readingMs + (clock.monotonicMs() - readAtMs)
+    fun nowMs(): Long = workerTimeAt(clock.monotonicMs())
+
+    private fun workerTimeAt(localMs: Long): Long = readingMs + (localMs - readAtMs)
+
+    /** The worker was there at [atMs], a local monotonic time, or had no run to lose until then. */
+    fun prove(atMs: Long) {
+        provenAtMs = maxOf(provenAtMs, atMs)
+    }
 
     /** Takes over the reading of an answer and returns the time on the worker's clock since the last one, in ms. */
     fun update(workerClockMs: Long): Long {
         val elapsedMs = workerClockMs - readingMs
         readingMs = workerClockMs
         readAtMs = clock.monotonicMs()
+        prove(readAtMs)
         return elapsedMs
     }
 
-    /** Returns the deadline on the worker's clock for an order sent now, in ms. */
+    /**
+     * Returns the deadline on the worker's clock for an order sent now, in ms. Orders that stay without an answer extend
+     * the leases up to a fixed time after the last answer, so that the tasks of a lost worker start again in time.
+     */
     fun nextDeadlineMs(): Long {
-        val deadline = nowMs() + settings.runLeaseMs
+        val countsFromMs = minOf(clock.monotonicMs(), provenAtMs + MAX_UNANSWERED_EXTENSION_MS)
+        val deadline = workerTimeAt(countsFromMs) + settings.runLeaseMs
         highestDeadlineMs = maxOf(highestDeadlineMs, deadline)
         return deadline
     }
@@ -47,6 +62,9 @@
     }
 
     private companion object {
+        // Covers the wait for the store between an answer and the next renewal.
+        const val MAX_UNANSWERED_EXTENSION_MS = 1_000L
+
         // Longest time in flight of an order after its deadline was computed.
         const val EXPIRY_MARGIN_MS = 300L
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -97,8 +97,15 @@
         return leavesAtMs - workerClock.nowMs()
     }
 
-    /** Returns the deadline on the worker's clock for an order sent now, in ms. */
-    fun nextDeadlineMs(): Long = workerClock.nextDeadlineMs()
+    /** Returns the deadline on the worker's clock for an order to start [run] that is sent now, in ms. */
+    fun startDeadlineMs(run: Run): Long {
+        if (runs.values.none { it.isOrdered }) workerClock.prove(clock.monotonicMs())
+        run.isOrdered = true
+        return workerClock.nextDeadlineMs()
+    }
+
+    /** The worker has answered an order that was sent at the monotonic time [sentAtMs]. */
+    fun onOrderAnswered(sentAtMs: Long) = workerClock.prove(sentAtMs)
 
     /**
      * Whether the present incarnation of the worker has answered a moment ago or does so now. Tells a start that was lost
@@ -169,9 +176,12 @@
         val isWaiting = isSettled && !hasNoRuns() && !hasUnstored && unreachableSinceMs < 0
         val waitMs = if (isWaiting) maxWaitMs(clock.monotonicMs()) else 0
         val sentAtMs = clock.monotonicMs()
-        val deadlineMs = if (isClaimed && runs.isNotEmpty() && canExtendLeases(sentAtMs)) nextDeadlineMs() else null
-        val incarnation = listed.incarnationMs
-        when (val result = link.renewLeases(listed, ownership.epoch, storedEnd, deadlineMs, waitMs)) {
+        val deadlineMs = if (isClaimed && runs.values.any { it.isOrdered }) workerClock.nextDeadlineMs() else null
+        val worker = listed
+        val incarnation = worker.incarnationMs
+        val result =
+            whileLeasesLast { link.renewLeases(worker, ownership.epoch, storedEnd, deadlineMs, waitMs) }
+        when (result) {
             is RenewalResult.Renewed -> if (incarnation == listed.incarnationMs) onRenewed(result, sentAtMs, storedEnd)
             RenewalResult.Fenced -> {
                 log.record(
@@ -190,9 +200,15 @@
         }
     }
 
-    // A call without an answer may still extend the leases, so those of an unreachable worker must be left to expire.
-    private fun canExtendLeases(nowMs: Long): Boolean =
-        unreachableSinceMs < 0 || nowMs - unreachableSinceMs < MAX_UNREACHABLE_EXTENSION_MS
+    /** Makes [call], and gives it up when the leases of all runs have expired, so that their tasks start elsewhere. */
+    private suspend fun whileLeasesLast(call: suspend () -> RenewalResult): RenewalResult {
+        val leftMs = leasesLeftMs() ?: return call()
+        return withTimeoutOrNull(leftMs) { call() } ?: RenewalResult.Unreachable("no answer until the leases expired")
+    }
+
+    /** Returns the time in ms until the leases of all runs have certainly expired, or null if they have or there are none. */
+    private fun leasesLeftMs(): Long? =
+        (workerClock.leasesExpiredAtMs() - clock.monotonicMs()).takeIf { it > 0 && runs.isNotEmpty() }
 
     private suspend fun onRenewed(
         renewed: RenewalResult.Renewed,
@@ -263,11 +279,16 @@
             )
         }
         isLostByClosing = isLostByClosing && result.isClosed
-        if (runs.isNotEmpty() && now > workerClock.leasesExpiredAtMs()) {
-            lapsedRuns = lostRuns()
-            endIncarnation("lease has lapsed")
-        }
-        delay(if (now - unreachableSinceMs < QUICK_RETRY_MS) RETRY_MS else SLOW_RETRY_MS)
+        val pauseMs = if (now - unreachableSinceMs < QUICK_RETRY_MS) RETRY_MS else SLOW_RETRY_MS
+        endLapsedRuns()
+        delay(minOf(pauseMs, leasesLeftMs() ?: pauseMs))
+        endLapsedRuns()
+    }
+
+    private fun endLapsedRuns() {
+        if (runs.isEmpty() || leasesLeftMs() != null) return
+        lapsedRuns = lostRuns()
+        endIncarnation("lease has lapsed")
     }
 
     /** Ends the runs after another incarnation than [incarnationMs] has answered a call at the worker's address. */
@@ -356,9 +377,6 @@
         const val QUICK_RETRY_MS = 3_000L
         const val SLOW_RETRY_MS = 500L
 
-        // Tolerates two lost calls; after that a restart on another worker is faster.
-        const val MAX_UNREACHABLE_EXTENSION_MS = 1_500L
-
         // Leases are still extended at this period while the store cannot store run ends.
         const val MAX_STORE_WAIT_MS = 1_000L
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -194,7 +194,7 @@
             deadlineMs: Long?,
             waitMs: Int,
         ): RenewalResult {
-            val target = reach(worker) ?: return RenewalResult.Unreachable("cut off")
+            val target = reach(worker, waitMs) ?: return RenewalResult.Unreachable("cut off")
             if (target.isDown) return RenewalResult.Unreachable("refused", isClosed = true)
             if (target.isReplaced) return RenewalResult.OtherIncarnation
             val result =
@@ -245,11 +245,15 @@
             return call()
         }
 
-        private suspend fun reach(worker: ListedWorker): SimulatedWorker? {
+        /** Returns the worker, or null after the time limit of a call for whose answer the worker may wait [waitMs]. */
+        private suspend fun reach(
+            worker: ListedWorker,
+            waitMs: Int = 0,
+        ): SimulatedWorker? {
             delay(1)
             val target = workers.getValue(worker.id)
             if (!isPartitioned && target.isReachable) return target
-            delay(LOST_CALL_DELAY_MS)
+            delay(waitMs + LOST_CALL_DELAY_MS)
             return null
         }
     }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -19,6 +19,7 @@
 import org.orioleferry.scheduler.workers.StartResult
 import org.orioleferry.scheduler.workers.StopResult
 import org.orioleferry.scheduler.workers.TaskId
+import kotlin.math.ceil
 import kotlin.math.floor
 
 /** Duration of a run of a task and how the run ends. */
@@ -57,6 +58,13 @@
     var listingLagMs = 0L
     private var crashedAtMs = Long.MIN_VALUE / 2
 
+    /** Rate of the worker's clock, on which its leases end. */
+    var clockRate = 1.0
+
+    /** Longest lease that the worker grants, ms; a longer one is shortened. */
+    var maxHoldMs = 10_000L
+    private val nowMs: Long get() = (clock.monotonicMs() * clockRate).toLong()
+
     /** Whether orders with a lower token than the highest seen are refused; off to show which faults that prevents. */
     var checksTokens = true
 
@@ -150,12 +158,22 @@
             leavesAtMs,
         )
 
-    fun crash() {
+    /** Ends the worker for good. The directory shows it on, and its connections are silent. */
+    fun losePower() {
+        isReachable = false
+        dropRuns()
+    }
+
+    private fun dropRuns() {
         val lost = runs.keys.toList()
         lost.forEach { records.ended(it, id, RunEnding.STOPPED, clock.monotonicMs()) }
         runs.clear()
         lost.forEach { gangs.ended(it, RunEnding.STOPPED) }
         ends.clear()
+    }
+
+    fun crash() {
+        dropRuns()
         closedAttempts.clear()
         endNumber = 0
         token = 0
@@ -167,8 +185,8 @@
     fun start(order: StartOrder): StartResult {
         if (checksTokens && order.fence < token) return StartResult.Refused(StartRefusal.FENCED)
         token = maxOf(token, order.fence)
-        if (order.deadlineMs <= clock.monotonicMs()) return StartResult.Refused(StartRefusal.LATE)
-        deadlineMs = maxOf(deadlineMs, order.deadlineMs)
+        if (order.deadlineMs <= nowMs) return StartResult.Refused(StartRefusal.LATE)
+        extendLeases(order.deadlineMs)
         if (order.run in runs) return StartResult.Started
         if (order.run.attempt <=
             (closedAttempts[order.run.task] ?: 0)
@@ -201,6 +219,10 @@
         return StartResult.Started
     }
 
+    private fun extendLeases(newDeadlineMs: Long) {
+        deadlineMs = maxOf(deadlineMs, minOf(newDeadlineMs, nowMs + maxHoldMs))
+    }
+
     private suspend fun crashAfter(
         run: RunId,
         afterMs: Long,
@@ -223,9 +245,10 @@
             val now = clock.monotonicMs()
             val endMs = state.beganMs + outcome.workMs
             val isWorking = !isStalled && frozenAtMs < 0
-            if (now >= deadlineMs) return end(run, RunEnding.LAPSED)
+            if (nowMs >= deadlineMs) return end(run, RunEnding.LAPSED)
             if (now >= endMs && isWorking) return end(run, outcome.ending)
-            delay(if (isWorking) minOf(endMs, deadlineMs) - now else STATE_CHECK_INTERVAL_MS)
+            val leaseLeftMs = ceil((deadlineMs - nowMs) / clockRate).toLong()
+            delay(if (isWorking) minOf(endMs - now, leaseLeftMs) else STATE_CHECK_INTERVAL_MS)
         }
     }
 
@@ -241,7 +264,7 @@
         while (!gangs.isWhole(run)) {
             if (incarnation != startIncarnation || run !in runs) return false
             val now = clock.monotonicMs()
-            if (now >= deadlineMs) return false.also { end(run, RunEnding.LAPSED) }
+            if (nowMs >= deadlineMs) return false.also { end(run, RunEnding.LAPSED) }
             if (now >= limitMs) return false.also { end(run, RunEnding.ALONE) }
             delay(STATE_CHECK_INTERVAL_MS)
         }
@@ -282,7 +305,7 @@
     ): RenewalResult {
         if (checksTokens && fence < token) return RenewalResult.Fenced
         token = maxOf(token, fence)
-        newDeadlineMs?.let { deadlineMs = maxOf(deadlineMs, it) }
+        newDeadlineMs?.let(::extendLeases)
         ends.filter { it.number <= lastSeen }.forEach { records.acknowledged(it.id, it.ending) }
         ends.removeAll { it.number <= lastSeen }
         if (ends.isEmpty() && waitMs > 0) {
@@ -292,7 +315,7 @@
         val present = runs.map { (run, state) -> PresentRun(run, "", percentOf(state)) }
         val listed = ends.take(maxListedEnds)
         val isFull = listed.size == maxListedEnds
-        return RenewalResult.Renewed(clock.monotonicMs(), 1_000L + incarnation, present, listed, isFull)
+        return RenewalResult.Renewed(nowMs, 1_000L + incarnation, present, listed, isFull)
     }
 
     /** Progress in whole percent, as the platform's workers list it. */
