Read the clock of an idle worker before a start

Tasks that last had nothing running for over 9 s after their worker had lost power, if it had been idle for minutes before they began.

Cause: an idle worker isn't called, so the reading of its clock is as old as its last run. A deadline was computed as if its clock kept the owner's rate, and the end of the lease as if it was 2% slow for all of that time: 2.4 s more after two idle minutes, 12 s after ten. Besides, an idle worker that was lost got all starts up to three times, and their tasks waited for leases that were never granted.

Why it works: a deadline is computed from the earliest time that the worker's clock can show, so a lease is never longer than 6 s on the worker's clock and 6.1 s on the owner's, whatever the age of the reading. A reading of more than 30 s is renewed before a start, by one call for all starts that ask at the same time; a worker that doesn't answer it refuses the starts, and the tasks are placed elsewhere at once.

Cost: one call for the first starts on a worker that has been idle for 30 s.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -67,8 +67,7 @@
         var result: StartResult = StartResult.Unknown("not sent")
         var mayHaveStarted = false
         for (tryNumber in 1..MAX_START_TRIES) {
-            // Under a task with crashes on record, a start without an answer counts as one more.
-            if (run.task.crashes.count > 0 && !run.session.answers()) {
+            if (needsAnswer(run) && !run.session.answers()) {
                 result = StartResult.Refused(StartRefusal.UNHEALTHY)
                 break
             }
@@ -98,6 +97,9 @@
         }
     }
 
+    // Under a task with crashes on record, a start without an answer counts as one more.
+    private fun needsAnswer(run: Run): Boolean = run.task.crashes.count > 0 || !run.session.hasCurrentClock
+
     private suspend fun callStart(run: Run): StartResult {
         val sentAtMs = clock.monotonicMs()
         val result = dependencies.link.start(run.session.listed, startOrderOf(run))
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
@@ -22,9 +22,13 @@
     private var highestDeadlineMs = 0L
 
     /** Returns the estimated time on the worker's clock, in ms. */
-    fun nowMs(): Long = workerTimeAt(clock.monotonicMs())
+    fun nowMs(): Long = readingMs + (clock.monotonicMs() - readAtMs)
 
-    private fun workerTimeAt(localMs: Long): Long = readingMs + (localMs - readAtMs)
+    /** Returns the earliest time that the worker's clock can show at the local monotonic time [localMs]. */
+    private fun earliestAt(localMs: Long): Long = readingMs + ((localMs - readAtMs) * settings.minClockRate).toLong()
+
+    /** Whether the last reading is recent enough for the deadlines of leases, which are shorter the older it is. */
+    val isCurrent: Boolean get() = clock.monotonicMs() - readAtMs < MAX_READING_AGE_MS
 
     /** The worker was there at [atMs], a local monotonic time, or had no run to lose until then. */
     fun prove(atMs: Long) {
@@ -46,7 +50,7 @@
      */
     fun nextDeadlineMs(): Long {
         val countsFromMs = minOf(clock.monotonicMs(), provenAtMs + MAX_UNANSWERED_EXTENSION_MS)
-        val deadline = workerTimeAt(countsFromMs) + settings.runLeaseMs
+        val deadline = earliestAt(countsFromMs) + settings.runLeaseMs
         highestDeadlineMs = maxOf(highestDeadlineMs, deadline)
         return deadline
     }
@@ -62,6 +66,9 @@
     }
 
     private companion object {
+        // A clock that is 2% slow falls behind by 0.6 s in this time.
+        const val MAX_READING_AGE_MS = 30_000L
+
         // Covers the wait for the store between an answer and the next renewal.
         const val MAX_UNANSWERED_EXTENSION_MS = 1_000L
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -53,6 +53,10 @@
 
     /** Held from the sending of a renewal until its answer has been processed. */
     private val renewal = Mutex()
+    private val probe = Mutex()
+
+    /** Monotonic time at which the last call by [answers] failed, or -1. */
+    private var probeFailedAtMs = -1L
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
 
     private val ends = EndAcknowledgements()
@@ -107,16 +111,27 @@
     /** The worker has answered an order that was sent at the monotonic time [sentAtMs]. */
     fun onOrderAnswered(sentAtMs: Long) = workerClock.prove(sentAtMs)
 
+    /** Whether the worker's clock was read recently enough for an order to start a run. */
+    val hasCurrentClock: Boolean get() = workerClock.isCurrent
+
     /**
      * Whether the present incarnation of the worker has answered a moment ago or does so now. Tells a start that was lost
-     * on its way from one after which the worker crashed.
+     * on its way from one after which the worker crashed. Starts that ask at the same time share one call.
      */
     suspend fun answers(): Boolean {
-        if (hasRecentAnswer()) return true
+        val askedAtMs = clock.monotonicMs()
+        return probe.withLock { hasRecentAnswer() || (probeFailedAtMs < askedAtMs && probe()) }
+    }
+
+    private suspend fun probe(): Boolean {
         val worker = listed
         // Acknowledges nothing, so the ends that the answer lists are listed again by the next renewal.
         val result = link.renewLeases(worker, ownership.epoch, lastSeen = 0, deadlineMs = null, waitMs = 0)
-        return result is RenewalResult.Renewed && result.incarnationMs == listed.incarnationMs
+        val isAnswered = result is RenewalResult.Renewed && result.incarnationMs == listed.incarnationMs
+        if (!isAnswered) probeFailedAtMs = clock.monotonicMs()
+        // The progress of runs is measured between the readings of renewals.
+        if (isAnswered && runs.values.none { it.isOrdered }) workerClock.update(result.clockMs)
+        return isAnswered
     }
 
     /**
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/LostWorkerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/LostWorkerTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.filter
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 
 /** Tasks of a worker that is lost for good run again in time, and those of one that is only cut off run on. */
@@ -49,6 +50,43 @@
         }
     }
 
+    // Guards against leases that are waited for too long because the worker's clock was last read minutes before.
+    @Test
+    fun `should run lasting tasks elsewhere within 9 s when their worker was idle for minutes before it is lost`() {
+        for (clockRate in listOf(1.0, 0.98)) {
+            for (idleMs in listOf(25_000L, 120_000L, 600_000L)) {
+                for (phaseMs in 0L..2_700L step 300) {
+                    runTest {
+                        val cluster = clusterOf(10_000, clockRate)
+                        cluster.startLastingJob(idleMs, workMs = phaseMs + 100)
+                        cluster.busyWorker().losePower()
+                        delay(15_000)
+                        cluster.expectRestartedWithin(LIMIT_MS)
+                    }
+                }
+            }
+        }
+    }
+
+    // Guards against tasks that wait for leases on a worker that was lost while it was idle and never got them.
+    @Test
+    fun `should start tasks elsewhere at once when a worker was lost while it was idle for minutes`() =
+        runTest {
+            val cluster = clusterOf(10_000, clockRate = 1.0)
+            val one = cluster.Instance("one").also { it.start() }
+            delay(120_000)
+            cluster.workers.getValue("w0").losePower()
+            cluster.submit(one, "a", "routine", StepSpec(28, SimulatedCluster.ONE_ACCELERATOR, 60_000))
+            delay(5_000)
+            expectThat(
+                cluster.records
+                    .runsOf("a")
+                    .map { it.worker }
+                    .toSet(),
+            ).isEqualTo(setOf("w1", "w2", "w3"))
+            expectThat(cluster.records.runsOf("a")).hasSize(24)
+        }
+
     // Guards against the same at a worker that is leaving.
     @Test
     fun `should run lasting tasks elsewhere within 9 s after a draining worker has lost power`() {
@@ -146,12 +184,15 @@
         return cluster
     }
 
-    private suspend fun SimulatedCluster.startLastingJob(): SimulatedCluster.Instance {
+    private suspend fun SimulatedCluster.startLastingJob(
+        idleMs: Long = 500,
+        workMs: Long = 1_000,
+    ): SimulatedCluster.Instance {
         val one = Instance("one").also { it.start() }
-        delay(500)
+        delay(idleMs)
         val step = StepSpec(WIDTH, SimulatedCluster.ONE_ACCELERATOR, 60_000, isLasting = true)
         submit(one, "serve", "routine", step)
-        delay(1_000)
+        delay(workMs)
         return one
     }
 
