Let all leases of an owner end 8.5 s after its last renewal

What callers saw: nothing reported for certain; it fits the report of something lost. Tasks of a worker that is lost stay without a run for 14 to 21 s when the owner, or every instance at once, is killed within the next seconds (LOST; 9 s are allowed for tasks that last, or 7 s from when all machines are up again).

Cause: a new owner can't tell a lost worker from one that only the former owner reaches, so it waits for every lease that the former owner can have granted. That owner extended leases by 6 s up to 7 s after its last renewal, 13.1 s in all, and the next one counted 11.9 s from its own election, whenever the last renewal was: after a kill of every instance the restart and the election came on top.

Why it works: no deadline lies more than 8.5 s after the sending of the last confirmed renewal, also on a clock that is 2% slow. Each renewal writes into the lease row when that is on the store's clock, or the end of the leases of owners before if it is later. The next owner compares it with the store's clock in the answer to its acquisition, so neither the time that nobody was in office nor its own start adds to the wait. Without that time it waits 6.8 s from the election, which covers all earlier owners: they were renewed 1.7 s before it at the latest, or have ended. A release names the leases granted before it.

Without a confirmed renewal workers hold answers for 0.7 s instead of 2 s, so that leases are extended in time once the store is back.

What remains: 0.8 to 1.8 s over 9 s if the worker is lost and its owner is gone for good 1 to 5 s later, since nothing tells the next owner that the former one has ended.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -8,9 +8,9 @@
  * @property maxLeaseTtlMs upper bound of the time to live of the ownership lease; the platform's limit for a change of
  *   owner is 3 s.
  * @property renewMs pause between renewals of the ownership lease.
- * @property maxRenewalAgeMs age of the last renewal of the ownership lease up to which an owner that gets no answer
- *   from the store still extends the leases of running tasks. Longer than the outages of about 5 s that the deployments
- *   state.
+ * @property maxRunLeaseAgeMs age of the last renewal of the ownership lease at which every lease of a running task has
+ *   ended. An owner that gets no answer from the store extends the leases up to then. Longer than the outages that the
+ *   deployments state; the next owner waits for it before it starts tasks of unreachable workers elsewhere.
  * @property runLeaseMs length of the leases of running tasks at a worker, counted from the last renewal; at most what
  *   the worker grants.
  * @property pollWaitMs longest time that a worker may delay its answer to a renewal of the run leases while it
@@ -30,7 +30,7 @@
     val leaseTtlMs: Long = 1_700,
     val maxLeaseTtlMs: Long = 2_900,
     val renewMs: Long = 500,
-    val maxRenewalAgeMs: Long = 7_000,
+    val maxRunLeaseAgeMs: Long = 8_500,
     val runLeaseMs: Long = 6_000,
     val pollWaitMs: Int = 2_000,
     val minClockRate: Double = 0.98,
@@ -39,4 +39,13 @@
     val maxManifestAgeMs: Long = 2_900,
     val statusRetentionMs: Long = 120_000,
     val maxRowBytes: Int = 65_536,
-)
+) {
+    /** Longest time in ms that a lease of a run lasts by the local clock. */
+    internal val longestRunLeaseMs: Long get() = (runLeaseMs / minClockRate).toLong()
+
+    /**
+     * Longest time in ms that a run lease of an earlier owner lasts after a new owner has acquired the ownership: the
+     * earlier one has released it, has ended, or was renewed at least [leaseTtlMs] before.
+     */
+    internal val longestEarlierRunLeaseMs: Long get() = maxOf(longestRunLeaseMs, maxRunLeaseAgeMs - leaseTtlMs)
+}
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -81,7 +81,8 @@
 
     private suspend fun release(ownership: Ownership) {
         ownership.isLost = true
-        val value = LeaseValue("", ownership.epoch, 0)
+        val runLeasesEndMs = ownership.runLeasesEndMs(settings.longestRunLeaseMs)
+        val value = LeaseValue("", ownership.epoch, 0, runLeasesEndMs = runLeasesEndMs)
         val result = store.commit(leaseWrite(leaseVersion, value))
         log.record(SchedulerEvent.OWNERSHIP_RELEASED, settings.instance, "epoch" to ownership.epoch, "result" to result)
     }
@@ -155,14 +156,16 @@
 
     private suspend fun acquire(row: StoredRow?): Ownership? {
         // The version of an unreadable row is at least as high as every epoch before it, since each took a transaction.
-        val earlierEpoch = row?.let { decode(it)?.epoch ?: it.version } ?: 0
+        val earlier = row?.let(::decode)
+        val earlierEpoch = row?.let { earlier?.epoch ?: it.version } ?: 0
         val epoch = earlierEpoch + 1
         val sentAt = clock.now()
         val value = LeaseValue(settings.instance, epoch, 0, settings.leaseTtlMs)
         val write = leaseWrite(row?.version ?: 0, value)
         val fence = RowWrite(Rows.fence, "$epoch ${settings.instance}")
+        val result = store.commit(write.copy(writes = write.writes + fence))
         val version =
-            when (val result = store.commit(write.copy(writes = write.writes + fence))) {
+            when (result) {
                 is CommitResult.Committed -> result.version
                 is CommitResult.Conflicted -> versionOfOwnWrite(result, epoch)
                 is CommitResult.Unavailable, is CommitResult.Unknown, is CommitResult.Rejected -> {
@@ -172,7 +175,14 @@
             } ?: return null
         leaseVersion = version
         log.record(SchedulerEvent.OWNERSHIP_ACQUIRED, settings.instance, "epoch" to epoch, "version" to version)
-        return Ownership(epoch, version, clock, settings, sentAt)
+        val ownership = Ownership(epoch, version, clock, settings, sentAt)
+        if (result is CommitResult.Committed && result.storeMs > 0) {
+            val endMs = earlier?.runLeasesEndMs
+            ownership.earlierRunLeasesEndMs = endMs
+            ownership.earlierRunLeasesEndAtMs = endMs?.let { clock.monotonicMs() + it - result.storeMs }
+            ownership.onStoreAnswered(result.storeMs, sentAt)
+        }
+        return ownership
     }
 
     /** Returns the version of the lease row if it holds this instance's earlier write whose answer was lost. */
@@ -232,7 +242,9 @@
             val sentAt = clock.now()
             val ttlMs = (settings.leaseTtlMs + latencyMs * LATENCY_FACTOR).coerceAtMost(settings.maxLeaseTtlMs)
             val saturated = ownership.saturatedWorkspaces
-            val value = LeaseValue(settings.instance, ownership.epoch, ++renewals, ttlMs, saturated)
+            val runLeasesEndMs = ownership.runLeasesEndMs(settings.maxRunLeaseAgeMs)
+            val value =
+                LeaseValue(settings.instance, ownership.epoch, ++renewals, ttlMs, saturated, runLeasesEndMs)
             val result = store.commit(leaseWrite(leaseVersion, value))
             val version =
                 when (result) {
@@ -254,6 +266,7 @@
                 if (result is CommitResult.Committed) {
                     ownership.renewedAt = sentAt
                     ownership.ttlMs = ttlMs
+                    ownership.onStoreAnswered(result.storeMs, sentAt)
                     latencyMs = clock.ageOf(sentAt)
                 }
                 pauseMs = if (result is CommitResult.Committed) settings.renewMs else 0
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -22,7 +22,7 @@
     )
 
     private val entriesById = LinkedHashMap<String, Entry>()
-    private val startedAtMs = dependencies.clock.monotonicMs()
+    private val earlierLeasesExpiredAtMs: Long = expiryOfEarlierLeases()
     private val directory = dependencies.directory()
     private var isExpiryReported = false
 
@@ -50,10 +50,16 @@
             }
             reportEarlierLeasesExpired()
             if (ownership.canDecide) entriesById.values.forEach { evacuation.check(it.session) }
-            delay(REFRESH_MS)
+            val untilExpiryMs = earlierLeasesExpiredAtMs - dependencies.clock.monotonicMs()
+            delay(if (untilExpiryMs > 0) minOf(REFRESH_MS, untilExpiryMs) else REFRESH_MS)
         }
     }
 
+    private fun expiryOfEarlierLeases(): Long {
+        val latestMs = dependencies.clock.monotonicMs() + dependencies.settings.longestEarlierRunLeaseMs
+        return minOf(ownership.earlierRunLeasesEndAtMs ?: latestMs, latestMs) + EXPIRY_MARGIN_MS
+    }
+
     /** Wakes the sessions, which may wait for run ends to be stored. */
     fun wakeSessions() {
         entriesById.values.forEach { it.session.wake() }
@@ -119,13 +125,7 @@
 
     /** Releases the tasks of earlier owners once every lease that those owners can have granted has expired. */
     private fun reportEarlierLeasesExpired() {
-        val settings = dependencies.settings
-        val longestRunLeaseMs = (settings.runLeaseMs / settings.minClockRate).toLong()
-        // An earlier owner extends run leases until maxRenewalAgeMs after its last renewal. This owner acquired the
-        // ownership at least leaseTtlMs after that renewal, unless the earlier one had ended its ownership and extends
-        // no more leases.
-        val waitMs = settings.maxRenewalAgeMs - settings.leaseTtlMs + longestRunLeaseMs + EXPIRY_MARGIN_MS
-        if (isExpiryReported || dependencies.clock.monotonicMs() - startedAtMs < waitMs) return
+        if (isExpiryReported || dependencies.clock.monotonicMs() < earlierLeasesExpiredAtMs) return
         isExpiryReported = true
         runs.onEarlierLeasesExpired(sessions.filter { it.isClaimed && !it.isSettled }.mapTo(HashSet()) { it.id })
     }
@@ -133,6 +133,8 @@
     private companion object {
         // A draining worker has to be noticed within 2 s, and the directory itself lags by up to 0.8 s.
         const val REFRESH_MS = 400L
-        const val EXPIRY_MARGIN_MS = 500L
+
+        // Time in which a worker ends the runs whose leases have expired.
+        const val EXPIRY_MARGIN_MS = 300L
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
@@ -9,7 +9,9 @@
 /**
  * Value of the lease row. An empty [holder] means that the ownership was released. [renewals] makes each renewal change
  * the row. Other instances may acquire the ownership once the row has not changed for [ttlMs]. Every instance reads the
- * row, so it also names the [saturatedWorkspaces], which may add no open work.
+ * row, so it also names the [saturatedWorkspaces], which may add no open work. [runLeasesEndMs] is the time on the store's
+ * clock at which the leases of all running tasks have ended, whatever the holder does before the next renewal; null if
+ * it is not known.
  */
 @Serializable
 internal data class LeaseValue(
@@ -18,6 +20,13 @@
     val renewals: Long,
     val ttlMs: Long = 0,
     val saturatedWorkspaces: Set<String> = emptySet(),
+    val runLeasesEndMs: Long? = null,
+)
+
+/** A reading of the store's clock in the answer to a call that was sent at [sentAt]. */
+internal data class StoreClockReading(
+    val storeMs: Long,
+    val sentAt: ClockReading,
 )
 
 /**
@@ -45,11 +54,44 @@
     /** Whether the ownership has ended: released, its term over, or a worker has seen a higher epoch. */
     internal var isLost: Boolean = false
 
+    /** Last reading of the store's clock, or null before the first. */
+    private var storeClock: StoreClockReading? = null
+
+    /** Time on the store's clock at which the run leases of earlier owners have ended, or null before its first reading. */
+    internal var earlierRunLeasesEndMs: Long? = null
+
+    /** Monotonic time at which the run leases of earlier owners have certainly ended, or null if it is not known. */
+    internal var earlierRunLeasesEndAtMs: Long? = null
+
+    /** Takes over a reading of the store's clock, 0 if the answer had none. */
+    internal fun onStoreAnswered(
+        storeMs: Long,
+        sentAt: ClockReading,
+    ) {
+        if (storeMs <= 0) return
+        storeClock = StoreClockReading(storeMs, sentAt)
+        earlierRunLeasesEndMs = earlierRunLeasesEndMs ?: (storeMs + settings.longestEarlierRunLeaseMs)
+    }
+
+    /** Monotonic time at which every run lease granted now has to have ended. */
+    internal val runLeaseLimitMs: Long get() =
+        clock.monotonicMs() + settings.maxRunLeaseAgeMs - clock.ageOf(renewedAt)
+
+    /**
+     * Returns the time on the store's clock at which all run leases have ended if this owner grants none that lasts longer
+     * than [longestMs] from now, or null if it is not known.
+     */
+    internal fun runLeasesEndMs(longestMs: Long): Long? {
+        val reading = storeClock ?: return null
+        val earlierEndMs = earlierRunLeasesEndMs ?: return null
+        return maxOf(earlierEndMs, reading.storeMs + clock.ageOf(reading.sentAt) + longestMs)
+    }
+
     /** Whether starts, stops and other decisions are allowed. */
     public val canDecide: Boolean get() = !isLost && clock.ageOf(renewedAt) < ttlMs - DECISION_MARGIN_MS
 
     /** Whether the leases of running tasks may still be extended. */
-    public val canExtendRunLeases: Boolean get() = !isLost && clock.ageOf(renewedAt) < settings.maxRenewalAgeMs
+    public val canExtendRunLeases: Boolean get() = !isLost && clock.ageOf(renewedAt) < settings.maxRunLeaseAgeMs
 
     private companion object {
         // Time to send an order that is decided just before the lease expires.
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
@@ -46,11 +46,12 @@
 
     /**
      * Returns the deadline on the worker's clock for an order sent now, in ms. Orders that stay without an answer extend
-     * the leases up to a fixed time after the last answer, so that the tasks of a lost worker start again in time.
+     * the leases up to a fixed time after the last answer, so that the tasks of a lost worker start again in time. The
+     * lease ends by [latestEndMs], a local monotonic time.
      */
-    fun nextDeadlineMs(): Long {
+    fun nextDeadlineMs(latestEndMs: Long): Long {
         val countsFromMs = minOf(clock.monotonicMs(), provenAtMs + MAX_UNANSWERED_EXTENSION_MS)
-        val deadline = earliestAt(countsFromMs) + settings.runLeaseMs
+        val deadline = minOf(earliestAt(countsFromMs) + settings.runLeaseMs, earliestAt(latestEndMs))
         highestDeadlineMs = maxOf(highestDeadlineMs, deadline)
         return deadline
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -105,7 +105,7 @@
     fun startDeadlineMs(run: Run): Long {
         if (runs.values.none { it.isOrdered }) workerClock.prove(clock.monotonicMs())
         run.isOrdered = true
-        return workerClock.nextDeadlineMs()
+        return workerClock.nextDeadlineMs(ownership.runLeaseLimitMs)
     }
 
     /** The worker has answered an order that was sent at the monotonic time [sentAtMs]. */
@@ -180,6 +180,8 @@
     private fun maxWaitMs(nowMs: Long): Int =
         when {
             runs.values.any { it.suspectedAtMs >= 0 } -> CONFIRMATION_WAIT_MS
+            // The leases are extended again soon after the next renewal of the ownership.
+            !ownership.canDecide -> SHORT_WAIT_MS
             runs.values.any { it.isUrgent && nowMs - it.startedAtMs < EARLY_MS } -> SHORT_WAIT_MS
             else -> settings.pollWaitMs
         }
@@ -191,7 +193,14 @@
         val isWaiting = isSettled && !hasNoRuns() && !hasUnstored && unreachableSinceMs < 0
         val waitMs = if (isWaiting) maxWaitMs(clock.monotonicMs()) else 0
         val sentAtMs = clock.monotonicMs()
-        val deadlineMs = if (isClaimed && runs.values.any { it.isOrdered }) workerClock.nextDeadlineMs() else null
+        val deadlineMs =
+            if (isClaimed &&
+                runs.values.any { it.isOrdered }
+            ) {
+                workerClock.nextDeadlineMs(ownership.runLeaseLimitMs)
+            } else {
+                null
+            }
         val worker = listed
         val incarnation = worker.incarnationMs
         val result =
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -164,6 +164,9 @@
     inner class Link : WorkerLink {
         var isPartitioned = false
 
+        /** Ids of the workers that this instance cannot reach. */
+        val unreachableWorkers = HashSet<String>()
+
         /** Whether answers to lease renewals are dropped. */
         var dropsRenewalAnswers = false
 
@@ -252,7 +255,7 @@
         ): SimulatedWorker? {
             delay(1)
             val target = workers.getValue(worker.id)
-            if (!isPartitioned && target.isReachable) return target
+            if (!isPartitioned && worker.id !in unreachableWorkers && target.isReachable) return target
             delay(waitMs + LOST_CALL_DELAY_MS)
             return null
         }
