Count a job as waiting until one of its runs has begun

Cause: the owner took a job for started when it planned the first start, and never took that back. A start that is lost on its way, as to a worker that is cut off, leaves the job without a run for 7 s and more. A new owner took every job that was stored as running for started.

Why it works: a job has begun when a worker has answered a start, has listed the run or has listed its end. That is stored with the progress whenever it is written, and without a write of its own; a new owner counts a job as waiting until a worker shows that it has begun. Rows of earlier versions count as before.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobProgress.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/model/JobProgress.kt
@@ -58,11 +58,15 @@
     val unconfirmedCrashes: Map<Int, List<Int>> = emptyMap(),
 )
 
-/** Progress of a job, stored by the owner. [endedMs] is Unix ms, 0 while the job has not ended. */
+/**
+ * Progress of a job, stored by the owner. [endedMs] is Unix ms, 0 while the job has not ended. [hasBegun] tells whether a
+ * run of it is known to have begun; null in rows of earlier versions.
+ */
 @Serializable
 public data class JobProgress(
     val state: JobState,
     val steps: List<StepProgress> = emptyList(),
     val endedMs: Long = 0,
     val workspace: String = "",
+    val hasBegun: Boolean? = null,
 )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -102,8 +102,8 @@
     /** Whether the job has neither ended nor been cancelled, so that its tasks may be started. */
     val isLive: Boolean get() = !state.isEnded && !accepted.isCancelled
 
-    /** Whether a task has ever started. */
-    var hasStarted: Boolean = state != JobState.QUEUED
+    /** Whether a run is known to have begun. A start without an answer leaves it open. */
+    var hasBegun: Boolean = stored?.hasBegun ?: (state != JobState.QUEUED)
 
     /** Accelerators needed by the step that needs most of them. */
     val maxStepAccelerators: Int = accepted.spec.steps.maxOfOrNull { it.count * it.need.accelerators } ?: 0
@@ -182,6 +182,7 @@
                     progressOf(it, tracked)
                 },
             workspace = accepted.spec.workspace,
+            hasBegun = hasBegun,
         )
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/QueueLengths.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/QueueLengths.kt
@@ -9,7 +9,7 @@
 import org.orioleferry.scheduler.store.WaitingJobs
 
 /**
- * Publishes the number of jobs of each queue that have not started, for the instances that answer callers, and determines
+ * Publishes the number of jobs of each queue that have not begun, for the instances that answer callers, and determines
  * the workspaces that may add no open work.
  */
 internal class QueueLengths(
@@ -25,7 +25,7 @@
         while (true) {
             val waitingJobsByQueue =
                 jobRegistry.activeJobs
-                    .filter { !it.hasStarted }
+                    .filter { !it.hasBegun }
                     .groupingBy { it.accepted.spec.queue }
                     .eachCount()
             ownership.saturatedWorkspaces = OpenWork.saturatedWorkspaces(jobRegistry.activeJobs)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
@@ -39,6 +39,7 @@
 
     /** Monotonic time since which the run is known to work, or null while its start has no answer. */
     var beganMs: Long? = null
+        private set
 
     /** Whether an order to start the run was sent, so that it may hold a lease. */
     var isOrdered = false
@@ -106,7 +107,7 @@
         sinceListedMs: Long?,
         nowMs: Long,
     ) {
-        if (beganMs == null) beganMs = nowMs
+        if (beganMs == null) onBegun(nowMs)
         if (entry.percent > percent || sinceListedMs == null) {
             unchangedMs = 0
             suspectedAtMs = -1
@@ -125,6 +126,12 @@
         }
     }
 
+    /** The run is known to work since the monotonic time [nowMs]. */
+    fun onBegun(nowMs: Long) {
+        beganMs = nowMs
+        task.step.job.hasBegun = true
+    }
+
     /** Returns the time in ms for which the run is known to have worked at [nowMs]. */
     fun provenMs(nowMs: Long): Long = beganMs?.let { maxOf(0, nowMs - it) } ?: 0
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -54,6 +54,7 @@
         val job = jobRegistry[end.id.task.job]
         val task = job?.task(end.id.task)
         if (job == null || task == null || job.state.isEnded) return writer.latestSequence
+        job.hasBegun = true
         task.lastAttempt = maxOf(task.lastAttempt, end.id.attempt)
         if (end.checkpoint.isNotEmpty()) saveCheckpoint(task, end.checkpoint)
         return when (end.ending) {
@@ -178,11 +179,10 @@
         run.percent = present.percent
         run.firstPercent = present.percent
         run.confirmedAtMs = clock.monotonicMs()
-        run.beganMs = run.confirmedAtMs
+        run.onBegun(clock.monotonicMs())
         run.isOrdered = true
         run.isUrgent = dependencies.policyOf(task.step.job.accepted.spec).priority == 0
         orders.attach(run)
-        task.step.job.hasStarted = true
         task.unresolvedWorker = ""
         log.record(
             SchedulerEvent.RUN_ADOPTED,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -48,10 +48,7 @@
         task.lastAttempt = attempt
         task.crashes.waitsSinceMs = null
         val job = task.step.job
-        if (!job.hasStarted) {
-            job.hasStarted = true
-            job.state = JobState.RUNNING
-        }
+        if (job.state == JobState.QUEUED) job.state = JobState.RUNNING
         val changeSequence = writer.markChanged(job)
         scope.launch {
             // The worker is stored before the order is sent, so that the next owner knows where a run may exist.
@@ -123,7 +120,7 @@
 
     private suspend fun onStarted(run: Run) {
         run.confirmedAtMs = clock.monotonicMs()
-        run.beganMs = run.confirmedAtMs
+        run.onBegun(clock.monotonicMs())
         log.record(
             SchedulerEvent.RUN_STARTED,
             run.id.toLogName(),
