Reclaim guaranteed accelerators from tasks that last

Cause: no run of a step that lasts was ever offered as a victim. That kept `maxUnavailable` without reading it, and gave the tasks the accelerators for good.

AVAIL limits orders that end tasks of steps with `maxUnavailable`, while so many of the step are away; a step without it has no limit.

Change: work within a guarantee may stop tasks that last, as work of a lower rank; other work may not, as before. Of a step with `maxUnavailable` a pass offers as many tasks as may still be away, and counts each that isn't at work, for whatever cause. A stop weighs like the loss of a minute of work, so other runs go first.

What remains: a guarantee behind tasks of one step with `maxUnavailable` gets them in portions, so RECLAIM may be missed where AVAIL would be broken otherwise.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -138,7 +138,7 @@
             )
         }
 
-    /** Returns the accelerators that runs hold, without those of lasting tasks, which never make room for others. */
+    /** Returns the accelerators that runs hold, without those of lasting tasks, which make no room for lower ranks. */
     private fun acceleratorsInUse(ranks: Ranks): Map<ServiceRank, Int> =
         fleet.sessions
             .flatMap { it.runs.values }
@@ -149,9 +149,9 @@
     private fun victims(ranks: Ranks): List<Victim<List<Run>>> =
         fleet.sessions
             .flatMap { it.runs.values }
-            .filter { it.state == RunState.RUNNING && !it.task.step.spec.isLasting && it.task.step.job.isLive }
-            .groupBy { if (it.task.step.spec.isGang) it.task.step else it }
-            .values
+            .filter { it.state == RunState.RUNNING && it.task.step.job.isLive }
+            .groupBy { it.task.step }
+            .flatMap { (step, runs) -> stoppableOf(step, runs) }
             .map { group ->
                 val step = group.first().task.step
                 Victim(
@@ -161,16 +161,29 @@
                     group.map { it.session.id },
                     group.sumOf { lostCoreMs(it) },
                     group.maxOf { it.remainingMs(clock.monotonicMs()) },
+                    step.spec.isLasting,
                 )
             }
 
+    /** Returns the groups of [runs] of [step] that may be stopped in this pass, each of them as a whole. */
+    private fun stoppableOf(
+        step: StepRun,
+        runs: List<Run>,
+    ): List<List<Run>> {
+        val groups = if (step.spec.isGang) listOf(runs) else runs.map { listOf(it) }
+        if (!step.spec.isLasting || step.spec.maxUnavailable == 0) return groups
+        val available = runs.filter { it.percent >= AT_WORK_PERCENT }
+        val left = step.spec.maxUnavailable - (step.spec.count - available.size)
+        return groups.filter { group -> group.all { it in available } && group.size <= left }.take(maxOf(0, left))
+    }
+
     /** Returns the work that preempting [run] loses, in ms of one core, including the cost of its restart. */
     private fun lostCoreMs(run: Run): Long {
-        val need = run.task.step.spec.need
-        val since =
-            if (run.task.step.spec.savesProgress) maxOf(run.checkpointedAtMs, run.startedAtMs) else run.startedAtMs
-        return (clock.monotonicMs() - since + RESTART_COST_MS) *
-            (need.cpuMillis / 1_000 + need.accelerators * CORES_PER_ACCELERATOR)
+        val spec = run.task.step.spec
+        val sinceMs = if (spec.savesProgress) maxOf(run.checkpointedAtMs, run.startedAtMs) else run.startedAtMs
+        val lostMs = if (spec.isLasting) LASTING_COST_MS else clock.monotonicMs() - sinceMs
+        return (lostMs + RESTART_COST_MS) *
+            (spec.need.cpuMillis / 1_000 + spec.need.accelerators * CORES_PER_ACCELERATOR)
     }
 
     private fun start(
@@ -208,6 +221,12 @@
         // Weight of an accelerator in the comparison of work.
         const val CORES_PER_ACCELERATOR = 8
 
+        // Lasting tasks are stopped last: the work of other tasks is lost in seconds, theirs is missed by their users.
+        const val LASTING_COST_MS = 60_000L
+
+        // A lasting task is at work when it shows this progress.
+        const val AT_WORK_PERCENT = 100
+
         // Approximate cost of a restart in addition to the lost work.
         const val RESTART_COST_MS = 600L
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -105,6 +105,7 @@
  * @property need resources of each run.
  * @property workers workers of the runs, one entry for each run.
  * @property lostWorkCoreMs work that a preemption would discard, in core-ms with an accelerator counted as 8 cores.
+ * @property isLasting whether the runs last until their job is cancelled; only work within a guarantee may preempt them.
  * @property remainingMs time until the last of the runs ends by itself, extrapolated from their progress, ms;
  *   [Long.MAX_VALUE] when it is not known.
  */
@@ -115,6 +116,7 @@
     val workers: List<String>,
     val lostWorkCoreMs: Long,
     val remainingMs: Long = Long.MAX_VALUE,
+    val isLasting: Boolean = false,
 )
 
 /** Placement of tasks of [demand]; [workers] has one entry per task, in task order. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -32,7 +32,7 @@
      * the pass has used up its searches. Victims that are selected are not considered for later demands.
      */
     fun <K> find(demand: Demand<K>): Preemption<K, V>? {
-        if (available.none { it.rank > demand.rank } || failedDemands.any { demand.isAtLeastAsHardAs(it) }) return null
+        if (available.none { demand.mayPreempt(it) } || failedDemands.any { demand.isAtLeastAsHardAs(it) }) return null
         if (searches == settings.maxVictimSearches) return null
         searches++
         val usable = workers.filter { isEligible(demand, it) && !it.isTroubled }
@@ -65,6 +65,10 @@
             allowed == other.allowed &&
             (sameRack || !other.sameRack)
 
+    // Others may use guaranteed accelerators only while they are idle, also for tasks that last.
+    private fun Demand<*>.mayPreempt(victim: Victim<V>): Boolean =
+        victim.rank > rank && (!victim.isLasting || rank == Rank.GUARANTEED)
+
     // Waiting for a run that is about to end takes no longer than stopping it, and discards no work.
     private fun endsSoon(victim: Victim<V>) = victim.remainingMs <= settings.stopDurationMs
 
@@ -138,7 +142,7 @@
             val candidates =
                 victimsByWorker[worker.id]
                     .orEmpty()
-                    .filter { it.rank > demand.rank && it in available && it !in chosen }
+                    .filter { demand.mayPreempt(it) && it in available && it !in chosen }
                     .sortedWith(compareBy({ costOf(it) * 1.0 / it.sizeInCores() }, { -it.rank }))
             val added = ArrayList<Victim<V>>()
             var free = worker.free + (freedByWorker[worker.id] ?: Resources())
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -22,10 +22,11 @@
 import kotlin.math.ceil
 import kotlin.math.floor
 
-/** Duration of a run of a task and how the run ends. */
+/** Duration of a run of a task and how the run ends. A lasting run shows all of its progress after [startupMs]. */
 data class Outcome(
     val workMs: Long,
     val ending: RunEnding = RunEnding.DONE,
+    val startupMs: Long? = null,
 )
 
 /** A worker that follows the rules of the platform for runs, leases, ends and fencing tokens. */
@@ -320,7 +321,12 @@
 
     /** Progress in whole percent, as the platform's workers list it. */
     private fun percentOf(state: ActiveRun): Double =
-        if (isStalled) 0.0 else floor(100.0 * (clock.monotonicMs() - state.beganMs) / maxOf(1, state.outcome.workMs))
+        if (isStalled) {
+            0.0
+        } else {
+            val fullMs = state.outcome.startupMs ?: state.outcome.workMs
+            minOf(100.0, floor(100.0 * (clock.monotonicMs() - state.beganMs) / maxOf(1, fullMs)))
+        }
 
     private companion object {
         // The directory is read each 0.4 s; a change that is younger than this may not have been seen.
