Wait for the longer leases of owners of an earlier version

While a new version is rolled out, an owner of it may follow one of an earlier version, which extends leases up to 7 s after its last renewal and says nothing about them in the lease row. The new owner took them for bounded, and could start a task while its earlier run went on at a worker that nobody else reached (TWICE).

Now the lease row says whether all leases that may last are bounded. An owner that finds a row without that waits as earlier versions did, and names the end in its own row, also for the owner after it. The time that a row names is no longer cut to what owners of this version can have left.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -48,4 +48,12 @@
      * earlier one has released it, has ended, or was renewed at least [leaseTtlMs] before.
      */
     internal val longestEarlierRunLeaseMs: Long get() = maxOf(longestRunLeaseMs, maxRunLeaseAgeMs - leaseTtlMs)
+
+    /** Like [longestEarlierRunLeaseMs], for owners of earlier versions, which extended leases for [UNBOUNDED_EXTENSION_MS]. */
+    internal val longestUnboundedRunLeaseMs: Long get() = UNBOUNDED_EXTENSION_MS - leaseTtlMs + longestRunLeaseMs
+
+    private companion object {
+        // Age of their last renewal up to which owners without maxRunLeaseAgeMs extended run leases.
+        const val UNBOUNDED_EXTENSION_MS = 7_000L
+    }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -82,7 +82,14 @@
     private suspend fun release(ownership: Ownership) {
         ownership.isLost = true
         val runLeasesEndMs = ownership.runLeasesEndMs(settings.longestRunLeaseMs)
-        val value = LeaseValue("", ownership.epoch, 0, runLeasesEndMs = runLeasesEndMs)
+        val value =
+            LeaseValue(
+                "",
+                ownership.epoch,
+                0,
+                runLeasesEndMs = runLeasesEndMs,
+                boundsRunLeases = ownership.areEarlierRunLeasesBounded || runLeasesEndMs != null,
+            )
         val result = store.commit(leaseWrite(leaseVersion, value))
         log.record(SchedulerEvent.OWNERSHIP_RELEASED, settings.instance, "epoch" to ownership.epoch, "result" to result)
     }
@@ -160,7 +167,8 @@
         val earlierEpoch = row?.let { earlier?.epoch ?: it.version } ?: 0
         val epoch = earlierEpoch + 1
         val sentAt = clock.now()
-        val value = LeaseValue(settings.instance, epoch, 0, settings.leaseTtlMs)
+        val isBounded = row == null || earlier?.boundsRunLeases == true
+        val value = LeaseValue(settings.instance, epoch, 0, settings.leaseTtlMs, boundsRunLeases = isBounded)
         val write = leaseWrite(row?.version ?: 0, value)
         val fence = RowWrite(Rows.fence, "$epoch ${settings.instance}")
         val result = store.commit(write.copy(writes = write.writes + fence))
@@ -176,6 +184,7 @@
         leaseVersion = version
         log.record(SchedulerEvent.OWNERSHIP_ACQUIRED, settings.instance, "epoch" to epoch, "version" to version)
         val ownership = Ownership(epoch, version, clock, settings, sentAt)
+        ownership.areEarlierRunLeasesBounded = isBounded
         if (result is CommitResult.Committed && result.storeMs > 0) {
             val endMs = earlier?.runLeasesEndMs
             ownership.earlierRunLeasesEndMs = endMs
@@ -244,7 +253,15 @@
             val saturated = ownership.saturatedWorkspaces
             val runLeasesEndMs = ownership.runLeasesEndMs(settings.maxRunLeaseAgeMs)
             val value =
-                LeaseValue(settings.instance, ownership.epoch, ++renewals, ttlMs, saturated, runLeasesEndMs)
+                LeaseValue(
+                    settings.instance,
+                    ownership.epoch,
+                    ++renewals,
+                    ttlMs,
+                    saturated,
+                    runLeasesEndMs,
+                    ownership.areEarlierRunLeasesBounded || runLeasesEndMs != null,
+                )
             val result = store.commit(leaseWrite(leaseVersion, value))
             val version =
                 when (result) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -56,8 +56,8 @@
     }
 
     private fun expiryOfEarlierLeases(): Long {
-        val latestMs = dependencies.clock.monotonicMs() + dependencies.settings.longestEarlierRunLeaseMs
-        return minOf(ownership.earlierRunLeasesEndAtMs ?: latestMs, latestMs) + EXPIRY_MARGIN_MS
+        val latestMs = dependencies.clock.monotonicMs() + ownership.longestEarlierRunLeaseMs
+        return (ownership.earlierRunLeasesEndAtMs ?: latestMs) + EXPIRY_MARGIN_MS
     }
 
     /** Wakes the sessions, which may wait for run ends to be stored. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
@@ -11,7 +11,8 @@
  * the row. Other instances may acquire the ownership once the row has not changed for [ttlMs]. Every instance reads the
  * row, so it also names the [saturatedWorkspaces], which may add no open work. [runLeasesEndMs] is the time on the store's
  * clock at which the leases of all running tasks have ended, whatever the holder does before the next renewal; null if
- * it is not known.
+ * it is not known. [boundsRunLeases] tells whether no owner of an earlier version, which does not write that time, may
+ * have left leases that last longer.
  */
 @Serializable
 internal data class LeaseValue(
@@ -21,6 +22,7 @@
     val ttlMs: Long = 0,
     val saturatedWorkspaces: Set<String> = emptySet(),
     val runLeasesEndMs: Long? = null,
+    val boundsRunLeases: Boolean = false,
 )
 
 /** A reading of the store's clock in the answer to a call that was sent at [sentAt]. */
@@ -57,6 +59,13 @@
     /** Last reading of the store's clock, or null before the first. */
     private var storeClock: StoreClockReading? = null
 
+    /** Whether all earlier owners whose leases may last have bounded them. */
+    internal var areEarlierRunLeasesBounded = true
+
+    /** Longest time in ms that a run lease of an earlier owner lasts after this ownership was acquired. */
+    internal val longestEarlierRunLeaseMs: Long get() =
+        if (areEarlierRunLeasesBounded) settings.longestEarlierRunLeaseMs else settings.longestUnboundedRunLeaseMs
+
     /** Time on the store's clock at which the run leases of earlier owners have ended, or null before its first reading. */
     internal var earlierRunLeasesEndMs: Long? = null
 
@@ -70,7 +79,7 @@
     ) {
         if (storeMs <= 0) return
         storeClock = StoreClockReading(storeMs, sentAt)
-        earlierRunLeasesEndMs = earlierRunLeasesEndMs ?: (storeMs + settings.longestEarlierRunLeaseMs)
+        earlierRunLeasesEndMs = earlierRunLeasesEndMs ?: (storeMs + longestEarlierRunLeaseMs)
     }
 
     /** Monotonic time at which every run lease granted now has to have ended. */
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/TakeoverLeasesTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/TakeoverLeasesTest.kt
@@ -5,13 +5,18 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
 import org.orioleferry.scheduler.model.StepSpec
+import org.orioleferry.scheduler.owner.LeaseValue
 import org.orioleferry.scheduler.simulation.Outcome
 import org.orioleferry.scheduler.simulation.SimulatedCluster
 import org.orioleferry.scheduler.simulation.SimulatedWorker
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.RowWrite
+import org.orioleferry.scheduler.store.Rows
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 
 /** What a new owner waits for before it starts the tasks of workers that it cannot reach. */
@@ -71,6 +76,37 @@
         }
     }
 
+    // Guards against a second run during an upgrade: an owner of an earlier version extends leases up to 7 s after its last
+    // renewal, and its lease row does not say when they end.
+    @Test
+    fun `should wait for all leases that an owner of an earlier version can have granted`() {
+        runTest {
+            val (cluster, instances) = startLastingJob(phaseMs = 0)
+            val worker = cluster.busyWorker()
+            instances.forEach { it.kill() }
+            val row =
+                cluster.rows
+                    .changes(Rows.OWNER, 0)
+                    .orEmpty()
+                    .last { it.key == Rows.lease }
+            val lease = Rows.json.decodeFromString(LeaseValue.serializer(), row.value)
+            val earlier = lease.copy(runLeasesEndMs = null, boundsRunLeases = false)
+            val write = RowWrite(Rows.lease, Rows.json.encodeToString(LeaseValue.serializer(), earlier))
+            cluster.rows.apply(RowTransaction(writes = listOf(write)))
+            val renewedAtMs = cluster.clock.monotonicMs()
+            instances.forEach { it.link.unreachableWorkers += worker.id }
+            instances.last().start()
+            delay(2_500)
+            // The next owner is killed before it has waited, and the one after it waits for the rest.
+            instances.last().kill()
+            instances.first().start()
+            delay(25_000)
+            val restarts = cluster.records.runs.filter { it.beganMs >= renewedAtMs }
+            expectThat(restarts).hasSize(WIDTH)
+            expectThat(restarts.minOf { it.beganMs } - renewedAtMs).isGreaterThan(EARLIER_VERSION_LEASES_MS)
+        }
+    }
+
     // Guards against a limit on the leases that costs all running work in an outage of the store as long as the deployments
     // have.
     @Test
@@ -113,5 +149,8 @@
         const val LIMIT_MS = 9_000L
         const val CALM_LIMIT_MS = 7_000L
         const val DOWN_MS = 2_000L
+
+        // 7 s after its last renewal an owner of an earlier version grants 6 s on a worker's clock that may be 2% slow.
+        const val EARLIER_VERSION_LEASES_MS = 13_122L
     }
 }
