Await the answers of workers whose first runs are not ordered yet

What callers saw: not seen by itself; found in the review of the leases of silent workers. A worker that answers is logged as lost, and gets no starts until it has answered again; if the store takes longer than 0.3 s, the runs planned for it end as "lease has lapsed" and their tasks are placed again.

Cause: a renewal is given up when the leases of all runs have expired. A run counts from its planning, but its order is sent only after the store has its row, and until then there is no lease: the end that was computed lies 0.3 s after the worker's last answer. A renewal in that time may be held by the worker for 0.7 to 2 s, so it was always given up. Any stored group of changes wakes the session, so it happens when work reaches a worker within 0.3 s of its claim, as after an election or when a worker has joined.

Why it works: the time limit applies only while a run that was ordered may hold a lease. Runs that are not ordered still end at once when the worker can't be reached.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -226,7 +226,8 @@
 
     /** Makes [call], and gives it up when the leases of all runs have expired, so that their tasks start elsewhere. */
     private suspend fun whileLeasesLast(call: suspend () -> RenewalResult): RenewalResult {
-        val leftMs = leasesLeftMs() ?: return call()
+        // Runs that are not ordered yet hold no leases, and the worker may hold its answer for longer than the margin.
+        val leftMs = leasesLeftMs()?.takeIf { runs.values.any { it.isOrdered } } ?: return call()
         return withTimeoutOrNull(leftMs) { call() } ?: RenewalResult.Unreachable("no answer until the leases expired")
     }
 
