Acquire no ownership once the instance has resigned

What callers saw: not seen by itself; found in the review of graceful stops. An instance that is told to stop can become the owner while it serves its last callers. It then ends without a release, so nothing is started until the lease has expired and another instance has taken over. Where one instance after the other is restarted, that can repeat itself.

Cause: whether the instance has resigned was looked at only before it begins to wait for a lease that can be acquired. Every instance but the owner is always in that wait, and acquired the next free lease as before. The same holds for an acquisition whose answer is awaited at that moment.

Evidence: the new test stops a follower 0 to 40 ms after the owner has resigned; before, it is the owner 0.7 s later.

Why it works: the wait ends without an acquisition, and an acquisition that was under way is released again, which lets the next instance take over at once.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -66,7 +66,12 @@
                 continue
             }
             val row = awaitAcquirableLease()
+            if (isResigning) continue
             val ownership = acquire(row) ?: continue
+            if (isResigning) {
+                release(ownership)
+                continue
+            }
             val hasLed = hold(ownership)
             // Another instance may have a better path to the store.
             if (!hasLed) release(ownership).also { delay(REELECTION_DELAY_MS) }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/ElectionTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/ElectionTest.kt
@@ -93,4 +93,32 @@
             delay(2_500)
             expectThat(reader.jobApi.queueLength("routine")).isNull()
         }
+
+    // Guards against an instance that acquires the ownership while it stops, and ends without a release: the next owner
+    // then waits for the lease to expire.
+    @Test
+    fun `should acquire no ownership once it has resigned`() {
+        for (resignedMs in 0L..40L step 2) {
+            runTest {
+                val cluster = SimulatedCluster(this)
+                val owner = cluster.Instance("owner").apply { start() }
+                delay(500)
+                val stopping = cluster.Instance("stopping").apply { start() }
+                delay(500)
+                owner.kill()
+                owner.election.resign()
+                delay(resignedMs)
+                stopping.election.resign()
+                // A term that is released at this moment ends within one renewal period.
+                delay(700)
+                repeat(50) {
+                    delay(100)
+                    expectThat(stopping.isOwner).isFalse()
+                }
+                val next = cluster.Instance("next").apply { start() }
+                delay(500)
+                expectThat(next.isOwner).isTrue()
+            }
+        }
+    }
 }
