--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/FirstStartTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/FirstStartTest.kt
@@ -24,12 +24,23 @@
                 one.store.answerMs = storeMs
                 while (SchedulerEvent.WORKER_CLAIMED !in cluster.events) delay(1)
                 repeat(8) {
-                    launch { cluster.submit(one, "a$it", "routine", StepSpec(8, SimulatedCluster.ONE_ACCELERATOR, 20_000)) }
+                    launch {
+                        cluster.submit(
+                            one,
+                            "a$it",
+                            "routine",
+                            StepSpec(8, SimulatedCluster.ONE_ACCELERATOR, 20_000),
+                        )
+                    }
                     delay(40)
                 }
                 delay(12_000)
                 expectThat(cluster.events).describedAs("store $storeMs ms").doesNotContain(SchedulerEvent.WORKER_LOST)
-                expectThat(cluster.records.runs.map { it.run.attempt }.toSet()).isEqualTo(setOf(1))
+                expectThat(
+                    cluster.records.runs
+                        .map { it.run.attempt }
+                        .toSet(),
+                ).isEqualTo(setOf(1))
             }
         }
     }
