--- a/review/stand-ins-2/Entry.java
+++ b/review/stand-ins-2/Entry.java
@@ -60,6 +60,15 @@
         return process != null && process.isAlive();
     }
 
+    /** Time of the last line of the log that tells of an acquired ownership, or -1; used to find the owner only. */
+    long ownerSinceMs() throws IOException {
+        long latestMs = -1;
+        for (String line : Files.readAllLines(new File(folder, name + ".log").toPath())) {
+            if (line.contains("\"OWNERSHIP_ACQUIRED\"")) latestMs = Json.num(Json.object(line), "ms", -1);
+        }
+        return latestMs;
+    }
+
     void kill() {
         Process running = process;
         if (running == null) return;
--- a/review/stand-ins-2/Worker.java
+++ b/review/stand-ins-2/Worker.java
@@ -59,6 +59,9 @@
     private long sequence;
     private volatile boolean isDead;
 
+    /** Whether the worker has no power: it answers nothing, its connections hang, and it runs nothing. */
+    private volatile boolean isPowerless;
+
     /** Whether the worker reports that it drains; it leaves [leavesInMs] after that at the earliest. */
     private volatile boolean isDraining;
     private volatile long leavesAtMs;
@@ -128,6 +131,18 @@
         });
     }
 
+    /** Ends the worker for good, without closing a connection. Its entry in the store expires by itself. */
+    void losePower() {
+        synchronized (this) {
+            isPowerless = true;
+            runs.clear();
+        }
+        daemon(() -> {
+            sleep(ENTRY_TTL_MS - silentMs());
+            store.remove("servers", id);
+        });
+    }
+
     static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -154,7 +169,7 @@
     }
 
     private synchronized void reportOnce() {
-        if (isDead) return;
+        if (isDead || isPowerless) return;
         if (!reachesStore) {
             if (silentMs() >= ENTRY_TTL_MS) store.remove("servers", id);
             return;
@@ -177,6 +192,12 @@
         }
     }
 
+    /** The run of [task] fails at once. */
+    synchronized void fail(String task) {
+        Run run = runs.get(task);
+        if (run != null) end(run, "failed");
+    }
+
     /** Ends runs whose work, lease or stop is over. */
     private void work() {
         while (!isDead) {
@@ -201,7 +222,7 @@
     }
 
     private StandInServer.Answer answer(StandInServer.Call call) throws Exception {
-        if (isDead) return null;
+        if (isDead || isPowerless) return null;
         if (call.expectedInstance() != null && !call.expectedInstance().equals(id)) return new StandInServer.Answer(421, "{}");
         Thread.sleep(1);
         Map<String, Object> body = call.body();
@@ -223,7 +244,7 @@
             }
         }
         if (began != null) behaviour.began(this, began, (int) Json.num(body, "attempt", 0));
-        return isDead ? null : answer;
+        return isDead || isPowerless ? null : answer;
     }
 
     private StandInServer.Answer refusal(String reason) {
