--- a/review/stand-ins-3/Lab.java
+++ b/review/stand-ins-3/Lab.java
@@ -11,6 +11,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -22,10 +24,15 @@
     static final String HOST = "nony24.example";
 
     /** Queues by priority, with the figures of the site's three kinds of request. */
-    static final List<String> PREFIXES = List.of("/pufi791/", "/lohu930/", "/pule252/");
+    static final List<String> PREFIXES = List.of("/pufi791/", "/lohu930/", "/pule252/", "/gavo118/");
+
+    /** The queue of whose steps only some workers may run each; its priority is that of the second queue. */
+    static final int ADVISED = 3;
 
     final Journal record;
     final Store store;
+    final Advice advice;
+    private final Set<String> advisedJobs = ConcurrentHashMap.newKeySet();
     final List<Worker> workers = new CopyOnWriteArrayList<>();
     static {
         // The host of a request selects the queue.
@@ -47,6 +54,7 @@
         this.root = root;
         record = new Journal(caseFolder.resolve("record.txt"));
         store = new Store();
+        advice = new Advice(record);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> entries.forEach(Process::destroyForcibly)));
         publishManifest();
     }
@@ -58,25 +66,47 @@
 
     Worker addWorker(String id, String kind, String rack, int port) throws Exception {
         Worker.Need capacity = new Worker.Need(32_000, 131_072, 8);
-        Worker worker = new Worker(id, kind, rack, SERVICE, capacity, store, record, this::needOf, port);
+        Worker worker = new Worker(id, kind, rack, SERVICE, capacity, store, record, this::needOf, this::isAllowed, port);
         workers.add(worker);
         return worker;
     }
 
+    /** Starts {@code worker}, which has crashed, again under its id and address; it refuses {@code refusedShare} of its calls. */
+    Worker restart(Worker worker, double refusedShare) throws Exception {
+        Worker next =
+            new Worker(worker.id, "a", worker.rack, SERVICE, worker.capacity, store, record, this::needOf,
+                this::isAllowed, worker.port());
+        next.refusedShare = refusedShare;
+        workers.set(workers.indexOf(worker), next);
+        record.line("worker " + worker.id + " is back");
+        return next;
+    }
+
+    /** Whether a start of {@code task} on {@code worker} with {@code ticket} is allowed. */
+    private boolean isAllowed(String task, String worker, String ticket) {
+        if (!advisedJobs.contains(task.substring(0, task.indexOf('.')))) return true;
+        return advice.allows(ticket, task.substring(0, task.lastIndexOf('.')), worker);
+    }
+
     private synchronized Worker.Need needOf(String job, int step) {
         return needs.get(job + "." + step);
     }
 
     private void publishManifest() {
         List<Object> routes = new ArrayList<>();
-        int[] attempts = {3, 4, 3};
-        double[] stretch = {1.5, 3.0, 3.0};
-        int[] slo = {250, 1000, 3000};
-        for (int priority = 0; priority < PREFIXES.size(); priority++) {
-            routes.add(
-                Json.of("name", "r-" + priority, "hostname", HOST, "pathPrefix", PREFIXES.get(priority), "type", "unsafe",
-                    "timeoutMs", 3000, "sloMs", slo[priority], "priority", priority, "backend", SERVICE,
-                    "maxAttempts", attempts[priority], "stretch", stretch[priority], "public", false));
+        int[] attempts = {3, 4, 3, 4};
+        double[] stretch = {1.5, 3.0, 3.0, 3.0};
+        int[] slo = {250, 1000, 3000, 1000};
+        for (int queue = 0; queue < PREFIXES.size(); queue++) {
+            Map<String, Object> route =
+                Json.of("name", "r-" + queue, "hostname", HOST, "pathPrefix", PREFIXES.get(queue), "type", "unsafe",
+                    "timeoutMs", 3000, "sloMs", slo[queue], "priority", queue == ADVISED ? 1 : queue, "backend", SERVICE,
+                    "maxAttempts", attempts[queue], "stretch", stretch[queue], "public", false);
+            if (queue == ADVISED) {
+                route.put("advisor", Json.of("decisionMs", Advice.DECISION_MS, "perWorkerMs", Advice.PER_WORKER_MS,
+                    "validMs", Advice.VALID_MS));
+            }
+            routes.add(route);
         }
         store.put("op", "config",
             Json.of("version", 7, "routes", routes,
@@ -128,6 +158,7 @@
                 "portRange", List.of(metrics, metrics), "seeds", List.of(), "bootstrap", true,
                 "limits", Json.of("cpuShare", 0.75, "cores", 1, "memoryMb", 430, "maxFds", 4100, "linkMbps", 1000.0, "diskMb", 0),
                 "heartbeatMs", 1500, "bounds", bounds, "commandMode", "call",
+                "advisor", "127.0.0.1:" + advice.port(),
                 "platform", Json.of("address", "127.0.0.1:" + store.port(), "form", "table", "writesPerS", 800, "readsPerS", 2000,
                     "txnMs", 5.0, "partitionWritesS", 200, "rowBytes", 65536, "crossShard", false, "historyS", 20),
                 "cloud", Json.of("ratePerS", 60.0, "duties", List.of(), "dutyPerS", 60.0));
@@ -162,6 +193,7 @@
         synchronized (this) {
             needs.put(id + ".0", new Worker.Need(fills ? 0 : amount(step, "cpu"), amount(step, "memMb"), amount(step, "gpus")));
         }
+        if (priority == ADVISED) advisedJobs.add(id);
         String body = Json.write(Json.of("spec", spec, "phases", List.of(step)));
         long endNs = System.nanoTime() + 10_000_000_000L;
         while (System.nanoTime() < endNs) {
--- a/review/stand-ins-3/Store.java
+++ b/review/stand-ins-3/Store.java
@@ -37,9 +37,6 @@
     private final List<Row> changes = new ArrayList<>();
     private final Map<String, Long> pingedNs = new HashMap<>();
     private long version = 1;
-
-    /** Newest version whose changes are no longer known. */
-    private long droppedVersion;
     private final Http server;
 
     Store() throws Exception {
@@ -49,12 +46,6 @@
         expiry.start();
     }
 
-    /** Discards the history: whoever asks for changes after an earlier version is answered 410. */
-    synchronized void dropHistory() {
-        droppedVersion = version;
-        changes.clear();
-    }
-
     /** A worker's ping. Its entry is removed after three ping intervals of silence. */
     synchronized void ping(String id, Map<String, Object> entry) {
         pingedNs.put(id, System.nanoTime());
@@ -154,7 +145,6 @@
         long after = Long.parseLong(query.get("after"));
         long endNs = System.nanoTime() + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
         while (true) {
-            if (after < droppedVersion) return new Http.Answer(410, Json.of());
             List<Object> found = new ArrayList<>();
             for (int i = changes.size() - 1; i >= 0 && changes.get(i).version > after; i--) {
                 if (changes.get(i).key.table.equals(query.get("table"))) found.add(0, changes.get(i).toJson());
--- a/review/stand-ins-3/Worker.java
+++ b/review/stand-ins-3/Worker.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** A worker that runs subtasks on order. The text of a job, "ms=N", says how long its subtasks work; "ms=0" is endless. */
 final class Worker {
@@ -14,9 +15,9 @@
         Need of(String job, int step);
     }
 
-    /** Told of each subtask that a worker has begun, while the worker is locked. */
-    interface StartListener {
-        void onStart(Worker worker, String task);
+    /** Tells whether a ticket allows a start. */
+    interface Tickets {
+        boolean allow(String task, String worker, String ticket);
     }
 
     private static final int HEARTBEAT_MS = 1_500;
@@ -50,10 +51,10 @@
 
     final String id;
     final String rack;
-    volatile StartListener listener = (worker, task) -> {};
     private final Store store;
     private final Journal record;
     private final Needs needs;
+    private final Tickets tickets;
     final Need capacity;
     private final String service;
     private final List<String> labels;
@@ -69,13 +70,14 @@
     private long leavesAtMs;
     private volatile boolean isGone;
 
-    /** Whether the worker can't reach the store; everything else reaches the worker. */
-    volatile boolean isCutFromStore;
+    /** Share of the calls that the worker refuses with 503, and does nothing. */
+    volatile double refusedShare;
     private final Map<String, Run> runs = new LinkedHashMap<>();
     private final Map<String, Integer> highestEnded = new HashMap<>();
     private final List<Object[]> ends = new ArrayList<>();
 
-    Worker(String id, String kind, String rack, String service, Need capacity, Store store, Journal record, Needs needs, int port)
+    Worker(String id, String kind, String rack, String service, Need capacity, Store store, Journal record, Needs needs,
+        Tickets tickets, int port)
         throws Exception {
         this.id = id;
         this.rack = rack;
@@ -85,6 +87,7 @@
         this.store = store;
         this.record = record;
         this.needs = needs;
+        this.tickets = tickets;
         zeroNs = System.nanoTime() - 5_000_000_000L;
         server = new Http(port, this::answer);
         this.port = server.port;
@@ -168,7 +171,7 @@
     }
 
     private synchronized void register() {
-        if (isGone || isCutFromStore) return;
+        if (isGone) return;
         Map<String, Object> entry =
             Json.of("backend", service, "address", "127.0.0.1:" + port, "zone", "z1", "version", "v1", "slots", 8,
                 "state", isDraining ? "draining" : "ready", "coldLeftMs", 0, "labels", labels, "clockMs", now(), "seq", ++seq);
@@ -208,6 +211,10 @@
         if (call.expectedInstance() != null && !call.expectedInstance().equals(id)) {
             return new Http.Answer(421, Json.of("clockMs", now(), "born", bornMs));
         }
+        if (ThreadLocalRandom.current().nextDouble() < refusedShare) {
+            record.line(id + " refuses " + call.name() + " " + call.body().getOrDefault("task", ""));
+            return new Http.Answer(503, Json.of());
+        }
         return switch (call.name()) {
             case "hold" -> hold(call.body());
             case "run-start" -> start(call.body());
@@ -245,6 +252,7 @@
             return refusal("old");
         }
         if ((long) body.get("deadlineMs") <= now()) return refusal("late");
+        if (!tickets.allow(task, id, (String) body.getOrDefault("ticket", ""))) return refusal("ticket");
         Run run = new Run(task, attempt, (String) body.get("spec"));
         Need need = run.need();
         Need used = used();
@@ -254,7 +262,6 @@
         }
         runs.put(task, run);
         record.line("start " + task + " #" + attempt + " on " + id + " " + labels);
-        listener.onStart(this, task);
         return accepted();
     }
 
