--- a/review/stand-ins-3/Lab.java
+++ b/review/stand-ins-3/Lab.java
@@ -44,6 +44,7 @@
     private final List<Process> entries = new ArrayList<>();
     private final List<Integer> callerPorts = new ArrayList<>();
     private final List<Integer> readyPorts = new ArrayList<>();
+    private final List<Integer> metricsPorts = new ArrayList<>();
     private final HttpClient client =
         HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(Duration.ofSeconds(1)).build();
     private final Map<String, Worker.Need> needs = new HashMap<>();
@@ -124,7 +125,8 @@
             int ready = freePort();
             callerPorts.add(callers);
             readyPorts.add(ready);
-            entries.add(start("front-z1-" + i, callers, ready, freePort()));
+            metricsPorts.add(freePort());
+            entries.add(start("front-z1-" + i, callers, ready, metricsPorts.get(i)));
         }
         long endNs = System.nanoTime() + 30_000_000_000L;
         for (int port : readyPorts) {
@@ -136,6 +138,19 @@
         record.line(count + " entry processes are ready");
     }
 
+    /** Kills the entry process that leads, and starts it again after {@code downMs}. Returns its name. */
+    String killLeader(long downMs) throws Exception {
+        String name = (String) store.value("owner", "lease").getOrDefault("holder", "");
+        if (name.isEmpty()) throw new IllegalStateException("no entry process leads");
+        int index = Integer.parseInt(name.substring(name.lastIndexOf('-') + 1));
+        entries.get(index).destroyForcibly().waitFor();
+        record.line(name + ", which leads, is killed");
+        Thread.sleep(downMs);
+        entries.set(index, start(name, callerPorts.get(index), readyPorts.get(index), metricsPorts.get(index)));
+        record.line(name + " is started again");
+        return name;
+    }
+
     private int get(int port) {
         try {
             HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/orioleferry/ready")).build();
@@ -167,7 +182,7 @@
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(root.resolve("deploy/system.toml")));
         if (!run.find()) throw new IllegalStateException("the deploy file has no command 'run'");
         ProcessBuilder builder = new ProcessBuilder(run.group(1).split(" ")).directory(root.toFile()).redirectErrorStream(true);
-        builder.redirectOutput(new File(folder.toFile(), name + ".log"));
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), name + ".log")));
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.environment().put("ORIOLEFERRY_CONFIG", file.toString());
         return builder.start();
--- a/review/stand-ins-3/Store.java
+++ b/review/stand-ins-3/Store.java
@@ -77,6 +77,12 @@
         apply(new Key(table, "", key), Base64.getEncoder().encodeToString(Json.write(value).getBytes()), false);
     }
 
+    /** Returns the value of a row, or an empty map if there is none. */
+    synchronized Map<String, Object> value(String table, String key) {
+        Row row = rows.get(new Key(table, "", key));
+        return row == null ? Map.of() : Json.object(new String(Base64.getDecoder().decode(row.value)));
+    }
+
     synchronized void remove(String table, String key) {
         apply(new Key(table, "", key), "", true);
     }
--- a/review/stand-ins-3/Worker.java
+++ b/review/stand-ins-3/Worker.java
@@ -159,6 +159,15 @@
         server.close();
     }
 
+    /** Ends the worker with all its runs, as a loss of power does: its calls and channels stay without an answer. */
+    void losePower() {
+        synchronized (this) {
+            isGone = true;
+            record.line("worker " + id + " loses power for good with " + runs.keySet());
+            runs.clear();
+        }
+    }
+
     private void beat() {
         try {
             while (!isGone) {
@@ -208,6 +217,7 @@
     }
 
     private Http.Answer answer(Http.Call call) throws Exception {
+        if (isGone) return null;
         if (call.expectedInstance() != null && !call.expectedInstance().equals(id)) {
             return new Http.Answer(421, Json.of("clockMs", now(), "born", bornMs));
         }
