Keep counting the leases of runs on a restarted worker

Cause: WorkerSession forgets the deadlines when it sees a new incarnation, although it keeps the runs, because orders that were sent before may be carried out in the new one. Without a deadline the leases count as expired, so the first call without success ends all runs ("lease has lapsed") while the worker runs them.

The leases now count as running for the longest time that the worker may have granted, from the last order with a deadline: the clock of a new incarnation starts anew, so an earlier deadline is far ahead on it and is shortened to maxHoldMs. A run still ends earlier when the worker accepts its stop and lists it no more. Answers that belong to the earlier incarnation no longer confirm a start or a stop in the new one, and a run whose order was not sent yet ends at once.

The simulated workers start a new clock with each incarnation and can refuse calls.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -13,6 +13,7 @@
  *   deployments state; the next owner waits for it before it starts tasks of unreachable workers elsewhere.
  * @property runLeaseMs length of the leases of running tasks at a worker, counted from the last renewal; at most what
  *   the worker grants.
+ * @property maxGrantedLeaseMs longest lease that a worker grants, on its clock; a later deadline is shortened to it.
  * @property pollWaitMs longest time that a worker may delay its answer to a renewal of the run leases while it
  *   waits for a run to end; the workers limit it.
  * @property minClockRate lowest rate of a worker's clock relative to the local clock.
@@ -32,6 +33,7 @@
     val renewMs: Long = 500,
     val maxRunLeaseAgeMs: Long = 8_500,
     val runLeaseMs: Long = 6_000,
+    val maxGrantedLeaseMs: Long = 10_000,
     val pollWaitMs: Int = 2_000,
     val minClockRate: Double = 0.98,
     val candidateDelayMs: Long = 0,
@@ -43,6 +45,9 @@
     /** Longest time in ms that a lease of a run lasts by the local clock. */
     internal val longestRunLeaseMs: Long get() = (runLeaseMs / minClockRate).toLong()
 
+    /** Longest time in ms by the local clock that a lease of a run lasts whose deadline is not known on the worker's clock. */
+    internal val longestGrantedLeaseMs: Long get() = (maxGrantedLeaseMs / minClockRate).toLong()
+
     /**
      * Longest time in ms that a run lease of an earlier owner lasts after a new owner has acquired the ownership: the
      * earlier one has released it, has ended, or was renewed at least [leaseTtlMs] before.
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -119,6 +119,8 @@
             run.task.step.job.isLive
 
     private suspend fun onStarted(run: Run) {
+        // The earlier incarnation of the worker may have answered; the stop that is under way decides.
+        if (run.isOrphaned) return
         run.confirmedAtMs = clock.monotonicMs()
         run.onBegun(clock.monotonicMs())
         log.record(
@@ -133,6 +135,7 @@
 
     /** Gives up a start with an unknown outcome. A stop makes sure that the order is not executed later. */
     private suspend fun abandon(run: Run) {
+        if (run.isOrphaned) return
         run.state = RunState.STOPPING
         stopGangOf(run, "start has no answer")
         sendStop(run)
@@ -183,6 +186,10 @@
 
     /** Makes sure that [run] neither runs nor starts in a new incarnation of its worker. */
     fun stopInNewIncarnation(run: Run) {
+        if (!run.isOrdered) {
+            onGone(run, "the worker has restarted before the order")
+            return
+        }
         run.confirmedAtMs = null
         run.isOrphaned = true
         run.state = RunState.STOPPING
@@ -206,7 +213,10 @@
                 continue
             }
             val worker = run.session.listed
-            when (dependencies.link.stop(worker, run.id, ownership.epoch)) {
+            val result = dependencies.link.stop(worker, run.id, ownership.epoch)
+            // An answer of the earlier incarnation says nothing about the new one.
+            if (worker.incarnationMs != run.session.listed.incarnationMs && result != StopResult.FENCED) continue
+            when (result) {
                 StopResult.ACCEPTED -> {
                     run.confirmedAtMs = clock.monotonicMs()
                     run.isStopAccepted = true
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
@@ -21,6 +21,12 @@
     /** Latest deadline given to the worker, on the worker's clock. */
     private var highestDeadlineMs = 0L
 
+    /** Local monotonic time at which the last order with a deadline was sent. */
+    private var deadlineSentAtMs: Long? = null
+
+    /** Local monotonic time by which every lease has ended that orders for an earlier incarnation gave in this one. */
+    private var earlierOrdersExpiredAtMs = 0L
+
     /** Returns the estimated time on the worker's clock, in ms. */
     fun nowMs(): Long = readingMs + (clock.monotonicMs() - readAtMs)
 
@@ -53,17 +59,32 @@
         val countsFromMs = minOf(clock.monotonicMs(), provenAtMs + MAX_UNANSWERED_EXTENSION_MS)
         val deadline = minOf(earliestAt(countsFromMs) + settings.runLeaseMs, earliestAt(latestEndMs))
         highestDeadlineMs = maxOf(highestDeadlineMs, deadline)
+        deadlineSentAtMs = clock.monotonicMs()
         return deadline
     }
 
     /** Returns the local time by which the worker's clock has certainly passed every deadline it was given, in ms. */
-    fun leasesExpiredAtMs(): Long =
-        readAtMs + ((highestDeadlineMs - readingMs).coerceAtLeast(0) / settings.minClockRate).toLong() +
-            EXPIRY_MARGIN_MS
+    fun leasesExpiredAtMs(): Long {
+        val leftMs = (highestDeadlineMs - readingMs).coerceAtLeast(0)
+        return maxOf(readAtMs + (leftMs / settings.minClockRate).toLong() + EXPIRY_MARGIN_MS, earlierOrdersExpiredAtMs)
+    }
 
-    /** Forgets the deadlines, which end with the worker's incarnation. */
+    /** Forgets the deadlines, since the worker's incarnation is over and no order for it is carried out any more. */
     fun forgetDeadlines() {
         highestDeadlineMs = 0
+        deadlineSentAtMs = null
+        earlierOrdersExpiredAtMs = 0
+    }
+
+    /**
+     * The worker has begun a new incarnation, whose clock starts anew. An order that was sent before may be carried out in
+     * it, and its deadline may be far ahead on the new clock, so the worker may grant its longest lease.
+     */
+    fun beginNewIncarnation() {
+        highestDeadlineMs = 0
+        deadlineSentAtMs?.let {
+            earlierOrdersExpiredAtMs = it + MAX_ORDER_MS + settings.longestGrantedLeaseMs + EXPIRY_MARGIN_MS
+        }
     }
 
     private companion object {
@@ -73,6 +94,9 @@
         // Covers the wait for the store between an answer and the next renewal.
         const val MAX_UNANSWERED_EXTENSION_MS = 1_000L
 
+        // An order without an answer is given up sooner, which closes its connection.
+        const val MAX_ORDER_MS = 1_000L
+
         // Longest time in flight of an order after its deadline was computed.
         const val EXPIRY_MARGIN_MS = 300L
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -356,6 +356,7 @@
         listed = entry
         bornAtMs = clock.monotonicMs()
         resetIncarnation()
+        workerClock.beginNewIncarnation()
         listener.onNewIncarnation(this)
         wake()
     }
@@ -365,12 +366,12 @@
         isSettled = false
         ends.reset()
         foreignNeed = Resources()
-        workerClock.forgetDeadlines()
     }
 
     /** Ends all runs, because this incarnation of the worker is over or its leases have expired. */
     fun endIncarnation(reason: String) {
         resetIncarnation()
+        workerClock.forgetDeadlines()
         runs.values.toList().forEach { listener.onGone(it, reason) }
     }
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -200,6 +200,7 @@
             val target = reach(worker, waitMs) ?: return RenewalResult.Unreachable("cut off")
             if (target.isDown) return RenewalResult.Unreachable("refused", isClosed = true)
             if (target.isReplaced) return RenewalResult.OtherIncarnation
+            if (target.refusesCall()) return RenewalResult.Unreachable("status 503")
             val result =
                 occupying { target.renewLeases(fence, lastSeen, deadlineMs, waitMs) }
                     ?: return RenewalResult.Unreachable("no answer in time")
@@ -216,6 +217,7 @@
             val target = reach(worker) ?: return StartResult.Unknown("cut off")
             if (target.isDown) return StartResult.Unknown("refused")
             if (target.isReplaced) return StartResult.Refused(StartRefusal.OTHER_LIFE)
+            if (target.refusesCall()) return StartResult.Refused(StartRefusal.UNHEALTHY)
             val result = occupying { target.start(order) } ?: return StartResult.Unknown("no answer in time")
             return result.also { if (it is StartResult.Unknown) delay(LOST_CALL_DELAY_MS) }
         }
@@ -228,6 +230,7 @@
             delay(stopDelayMs)
             val target = reach(worker)?.takeIf { !it.isDown } ?: return StopResult.UNKNOWN
             if (target.isReplaced) return StopResult.OTHER_LIFE
+            if (target.refusesCall()) return StopResult.UNKNOWN
             return occupying { target.stop(run, fence) } ?: StopResult.UNKNOWN
         }
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -64,7 +64,10 @@
 
     /** Longest lease that the worker grants, ms; a longer one is shortened. */
     var maxHoldMs = 10_000L
-    private val nowMs: Long get() = (clock.monotonicMs() * clockRate).toLong()
+
+    // The clock of each life begins at 0, so a deadline of an earlier life is far ahead on it.
+    private var clockStartMs = 0L
+    private val nowMs: Long get() = ((clock.monotonicMs() - clockStartMs) * clockRate).toLong()
 
     /** Whether orders with a lower token than the highest seen are refused; off to show which faults that prevents. */
     var checksTokens = true
@@ -72,6 +75,9 @@
     /** Whether calls reach the worker. Its runs continue while they do not. */
     var isReachable = true
 
+    /** Whether the worker refuses its next call, which it then ignores. */
+    var refusesCall: () -> Boolean = { false }
+
     /** Whether the process has ended, so that its connections are closed and new ones are refused. */
     var isDown = false
         set(value) {
@@ -181,6 +187,7 @@
         deadlineMs = 0
         incarnation++
         crashedAtMs = clock.monotonicMs()
+        clockStartMs = crashedAtMs
     }
 
     fun start(order: StartOrder): StartResult {
