Count a crash only under runs that were ordered

A task waited for a trial, and in the end its job could be shown as failed, for crashes of workers that had never got an order to start it: its start waited for its row while the worker restarted. lostRuns listed every run that was allocated on the worker.

Only runs whose order was sent can have been on the worker. The new test of CrashesBehindCutsTest fails without the change (TASK_SUSPECTED).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -353,8 +353,9 @@
         if (!listed.isDraining) listener.onCrashed(this, lost)
     }
 
+    // A run that was not ordered yet was not on the worker.
     private fun lostRuns(): List<LostRun> =
-        runs.values.filter { !it.isOrphaned }.map { run ->
+        runs.values.filter { it.isOrdered && !it.isOrphaned }.map { run ->
             LostRun(run.task, run.id.attempt, run.provenMs(workerClock.readAtMs), presenceOf(run))
         }
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashesBehindCutsTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/CrashesBehindCutsTest.kt
@@ -9,7 +9,11 @@
 import org.orioleferry.scheduler.simulation.Outcome
 import org.orioleferry.scheduler.simulation.SimulatedCluster
 import org.orioleferry.scheduler.simulation.SimulatedWorker
+import org.orioleferry.scheduler.simulation.WriteFault
+import org.orioleferry.scheduler.store.RowTransaction
+import org.orioleferry.scheduler.store.Rows
 import strikt.api.expectThat
+import strikt.assertions.doesNotContain
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -17,6 +21,8 @@
 class CrashesBehindCutsTest {
     private val step = StepSpec(1, SimulatedCluster.ONE_ACCELERATOR, 5_000)
 
+    private fun RowTransaction.changesProgress() = writes.any { it.key.table == Rows.PROGRESS }
+
     private fun SimulatedWorker.crashBehindCut() {
         crash()
         isReachable = true
@@ -71,6 +77,27 @@
             expectThat(cluster.records.violations).isEmpty()
         }
 
+    // Guards against a task that counts as a suspect, and waits for a trial, because workers crashed before it was ordered
+    // there: its start waited for its row.
+    @Test
+    fun `should not suspect a task that was never ordered on the worker that crashed`() =
+        runTest {
+            val cluster = SimulatedCluster(this, workers = 1) { _, _ -> Outcome(5_000) }
+            val one = cluster.Instance("one").also { it.start() }
+            delay(15_000)
+            one.store.nextWrite = { if (it.changesProgress()) WriteFault.REFUSED else WriteFault.NONE }
+            cluster.submit(one, "sound", "routine", step)
+            delay(500)
+            cluster.workers.values
+                .single()
+                .crash()
+            delay(2_000)
+            one.store.nextWrite = { WriteFault.NONE }
+            delay(15_000)
+            expectThat(cluster.stateOf(one, "sound")).isEqualTo(JobState.COMPLETED)
+            expectThat(cluster.events).doesNotContain(SchedulerEvent.TASK_SUSPECTED)
+        }
+
     // Guards against a sound job that is shown as failed for crashes after the leases of its runs had expired.
     @Test
     fun `should not give up a task for workers that crashed after its leases had expired`() =
