Wait for the directory to describe a restarted worker

Cause: what the owner knows of a worker, its kind and capacity among it, is that of an earlier incarnation until the directory lists the new one. Answers of the new incarnation state its start only. The owner sent starts before it knew of the restart, and took over the old description when an answer showed the restart first.

A worker whose new incarnation is not listed yet gets no starts.

The new test of RestartedWorkerTest fails without the change, with and without starts of other tasks that show the restart early.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -94,10 +94,12 @@
         }
     }
 
-    // Under a task with crashes on record, a start without an answer counts as one more. A lasting task would wait for the
-    // longest lease if the start might have reached a later incarnation of its worker.
-    private fun needsAnswer(run: Run): Boolean =
-        run.task.crashes.count > 0 || run.task.step.spec.isLasting || !run.session.hasCurrentClock
+    // Under a task with crashes on record, a start without an answer counts as one more. A start may reach a later incarnation
+    // of its worker: a lasting task would wait for the longest lease then, and one with a label may run on another kind.
+    private fun needsAnswer(run: Run): Boolean {
+        val spec = run.task.step.spec
+        return run.task.crashes.count > 0 || spec.isLasting || spec.label.isNotEmpty() || !run.session.hasCurrentClock
+    }
 
     private suspend fun callStart(run: Run): StartResult {
         val sentAtMs = clock.monotonicMs()
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -77,7 +77,16 @@
 
     /** Whether new runs may be started here. */
     val isOpen: Boolean
-        get() = isClaimed && isListed && !listed.isDraining && unreachableSinceMs < 0 && !workerClock.mayHaveLongLeases
+        get() =
+            isClaimed &&
+                isListed &&
+                isDescribed &&
+                !listed.isDraining &&
+                unreachableSinceMs < 0 &&
+                !workerClock.mayHaveLongLeases
+
+    /** Whether the directory has described the known incarnation, which may differ in kind and capacity from the one before. */
+    private var isDescribed = true
 
     /** Resources of the listed runs that are not among [runs] and have not ended yet. */
     private var foreignNeed = Resources()
@@ -152,9 +161,7 @@
                 if (runs.values.none { it.isOrdered }) workerClock.update(result.clockMs) else workerClock.confirm()
                 return true
             }
-            if (result.incarnationMs > listed.incarnationMs) {
-                beginNewIncarnation(listed.copy(incarnationMs = result.incarnationMs))
-            }
+            if (result.incarnationMs > listed.incarnationMs) beginUnlistedIncarnation(result.incarnationMs)
         }
         probeFailedAtMs = clock.monotonicMs()
         return false
@@ -174,9 +181,11 @@
     fun update(entry: ListedWorker) {
         isListed = true
         if (entry.incarnationMs > listed.incarnationMs) {
+            isDescribed = true
             beginNewIncarnation(entry)
         } else if (entry.incarnationMs == listed.incarnationMs) {
             listed = entry
+            isDescribed = true
         }
     }
 
@@ -263,7 +272,7 @@
         storedEnd: Long,
     ) {
         if (renewed.incarnationMs > listed.incarnationMs) {
-            beginNewIncarnation(listed.copy(incarnationMs = renewed.incarnationMs))
+            beginUnlistedIncarnation(renewed.incarnationMs)
             return
         }
         if (unreachableSinceMs >= 0) unreachableSinceMs = -1
@@ -367,6 +376,13 @@
             else -> Presence.CERTAIN
         }
 
+    /** Begins the incarnation that started at [incarnationMs] and has answered before the directory lists it. */
+    private fun beginUnlistedIncarnation(incarnationMs: Long) {
+        // An entry that states no start cannot be told from one of another incarnation.
+        isDescribed = listed.incarnationMs == 0L
+        beginNewIncarnation(listed.copy(incarnationMs = incarnationMs))
+    }
+
     private fun beginNewIncarnation(entry: ListedWorker) {
         log.record(
             SchedulerEvent.WORKER_REBORN,
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/RestartedWorkerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/RestartedWorkerTest.kt
@@ -1,6 +1,7 @@
 package org.orioleferry.scheduler
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
@@ -69,6 +70,37 @@
         }
     }
 
+    // Guards against a start on a worker without the task's label: it is back under its id as another kind, which only the
+    // directory tells (ROUTE, Relabel of the review).
+    @Test
+    fun `should not start a task on a restarted worker that has lost its label`() {
+        for (otherJobMs in listOf(null, 0L, 200L)) {
+            for (submittedMs in 0L..1_400L step 100) {
+                runTest {
+                    val cluster = SimulatedCluster(this, workers = 2) { _, _ -> Outcome(2_000) }
+                    val worker = cluster.workers.getValue("w0").also { it.listingLagMs = 1_000 }
+                    val one = cluster.Instance("one").also { it.start() }
+                    delay(15_000)
+                    worker.crash(nextKind = "b")
+                    val step = StepSpec(8, SimulatedCluster.ONE_ACCELERATOR, 2_000)
+                    launch {
+                        // Its starts show the new incarnation before the directory does.
+                        otherJobMs?.let {
+                            delay(it)
+                            cluster.submit(one, "any", "routine", step.copy(count = 16))
+                        }
+                    }
+                    delay(submittedMs)
+                    cluster.submit(one, "labelled", "routine", step.copy(label = "a"))
+                    delay(15_000)
+                    val runs = cluster.records.runsOf("labelled")
+                    expectThat(runs.filter { it.worker == worker.id }).describedAs("after $submittedMs ms").isEmpty()
+                    expectThat(cluster.stateOf(one, "labelled")).isEqualTo(JobState.COMPLETED)
+                }
+            }
+        }
+    }
+
     // Guards against a restarted worker that gets no work for seconds since the owner went on extending the leases of the
     // incarnation before, which it could not reach.
     @Test
@@ -79,7 +111,7 @@
                 val worker =
                     cluster.workers.values
                         .single()
-                        .also { it.listingLagMs = 6_000 }
+                        .also { it.listingLagMs = darkMs + LISTING_LAG_MS }
                 val one = cluster.Instance("one").also { it.start() }
                 delay(15_000)
                 cluster.submit(one, "a", "routine", StepSpec(7, SimulatedCluster.ONE_ACCELERATOR, 40_000))
@@ -145,6 +177,8 @@
     }
 
     private companion object {
+        const val LISTING_LAG_MS = 400L
+
         // A call without an answer is given up after 0.7 s and followed by a pause of 0.5 s, and the worker may hold the
         // answer that lists the runs for 2 s.
         const val RESTART_LIMIT_MS = 3_500L
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -59,6 +59,11 @@
     var listingLagMs = 0L
     private var crashedAtMs = Long.MIN_VALUE / 2
 
+    /** Label that names the kind of the worker; each incarnation may be of another. */
+    var kind = "a"
+    private var kindBefore = kind
+    private val isListedAsBefore: Boolean get() = clock.monotonicMs() - crashedAtMs < listingLagMs
+
     /** Rate of the worker's clock, on which its leases end. */
     var clockRate = 1.0
 
@@ -158,9 +163,9 @@
             "pool",
             "dc",
             rack,
-            setOf("a", rack),
+            setOf(if (isListedAsBefore) kindBefore else kind, rack),
             capacity,
-            1_000L + if (clock.monotonicMs() - crashedAtMs < listingLagMs) incarnation - 1 else incarnation,
+            1_000L + if (isListedAsBefore) incarnation - 1 else incarnation,
             isDraining,
             leavesAtMs,
         )
@@ -179,7 +184,10 @@
         ends.clear()
     }
 
-    fun crash() {
+    /** The process ends and is back at once, as a worker of [nextKind]. */
+    fun crash(nextKind: String = kind) {
+        kindBefore = kind
+        kind = nextKind
         dropRuns()
         closedAttempts.clear()
         endNumber = 0
