Name the confirmation of starts after what it checks

WorkerClock.isShownBy becomes isConsistentWith, WorkerSession.onStarted becomes onStartAnswered, and comments say which orders count as unconfirmed. No behaviour changes.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -106,7 +106,7 @@
         val result = dependencies.link.start(run.session.listed, startOrderOf(run))
         val isAnswered = result !is StartResult.Unknown && result != StartResult.Refused(StartRefusal.OTHER_LIFE)
         if (isAnswered) run.session.onOrderAnswered(sentAtMs)
-        if (result is StartResult.Started) run.session.onStarted(result.clockMs, sentAtMs)
+        if (result is StartResult.Started) run.session.onStartAnswered(result.clockMs, sentAtMs)
         return result
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
@@ -27,13 +27,13 @@
     /** Local monotonic time at which the last order with a deadline was sent. */
     private var deadlineSentAtMs: Long? = null
 
-    /** Like [deadlineSentAtMs], for orders that a later incarnation may have received since none had answered just before. */
+    /** Like [deadlineSentAtMs], for orders without a recent answer before them, which a later incarnation may have received. */
     private var unconfirmedSentAtMs: Long? = null
 
     /** Local monotonic time by which every lease has ended that orders for an earlier incarnation gave in this one. */
     private var earlierOrdersExpiredAtMs = 0L
 
-    /** Like [earlierOrdersExpiredAtMs], without orders that followed an answer of the earlier incarnation at once. */
+    /** Like [earlierOrdersExpiredAtMs], for the orders without a recent answer before them only. */
     private var unconfirmedOrdersExpiredAtMs = 0L
 
     /** Returns the estimated time on the worker's clock, in ms. */
@@ -50,7 +50,7 @@
 
     /**
      * Whether leases may last longer than an owner grants, because an order for an earlier incarnation may have been carried
-     * out in this one. The next owner would not wait for them.
+     * out in this one. The next owner does not wait for them.
      */
     val mayHaveLongLeases: Boolean
         get() = unconfirmedOrdersExpiredAtMs - clock.monotonicMs() > settings.longestRunLeaseMs + EXPIRY_MARGIN_MS
@@ -61,10 +61,10 @@
     }
 
     /**
-     * Whether the known incarnation has carried out an order that was sent at the local monotonic time [sentAtMs], when its
-     * clock showed [workerClockMs]. The clock of a later incarnation starts anew.
+     * Whether the known incarnation can have answered an order that was sent at the local monotonic time [sentAtMs], when
+     * the clock of the answering one showed [workerClockMs]. The clock of a later incarnation starts anew.
      */
-    fun isShownBy(
+    fun isConsistentWith(
         workerClockMs: Long,
         sentAtMs: Long,
     ): Boolean = workerClockMs >= earliestAt(sentAtMs) - CLOCK_TOLERANCE_MS
@@ -72,7 +72,7 @@
     /** The known incarnation has carried out an order that was sent at the local monotonic time [sentAtMs]. */
     fun confirmOrder(sentAtMs: Long) {
         confirm()
-        if (sentAtMs >= (unconfirmedSentAtMs ?: Long.MAX_VALUE)) unconfirmedSentAtMs = null
+        if (unconfirmedSentAtMs?.let { it <= sentAtMs } == true) unconfirmedSentAtMs = null
     }
 
     /** The worker was there at [atMs], a local monotonic time, or had no run to lose until then. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -125,11 +125,11 @@
      * A run was started by an order that was sent at the monotonic time [sentAtMs], when the worker's clock showed [clockMs].
      * Asks the worker for its incarnation if the clock shows that it is not the known one.
      */
-    suspend fun onStarted(
+    suspend fun onStartAnswered(
         clockMs: Long,
         sentAtMs: Long,
     ) {
-        if (workerClock.isShownBy(clockMs, sentAtMs)) {
+        if (workerClock.isConsistentWith(clockMs, sentAtMs)) {
             workerClock.confirmOrder(sentAtMs)
             return
         }
