Read the figures that decisions by the cost of a stop need

Cause: nothing tells the scheduler what stopping and resuming a run costs in a deployment, so it cannot weigh it.

Result: no decision changes yet.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -24,6 +24,8 @@
  *   API key are refused.
  * @property statusRetentionMs time for which the state of an ended job stays readable.
  * @property maxRowBytes largest value of a row that the store accepts.
+ * @property shortage figures of the deployment for decisions by cost when there is too little room, or null where these
+ *   decisions are not in force.
  */
 public data class SchedulerSettings(
     val instance: String,
@@ -41,6 +43,7 @@
     val maxManifestAgeMs: Long = 2_900,
     val statusRetentionMs: Long = 120_000,
     val maxRowBytes: Int = 65_536,
+    val shortage: ShortageSettings? = null,
 ) {
     /** Longest time in ms that a lease of a run lasts by the local clock. */
     internal val longestRunLeaseMs: Long get() = (runLeaseMs / minClockRate).toLong()
@@ -68,3 +71,14 @@
         const val UNBOUNDED_EXTENSION_MS = 7_000L
     }
 }
+
+/**
+ * Figures of a deployment that tell what stopping and delaying work costs.
+ *
+ * @property restoreMs time in ms that a run needs to resume from its checkpoint.
+ * @property reclaimMs time in ms after its acceptance by which urgent work within a guarantee has to begin.
+ */
+public data class ShortageSettings(
+    val restoreMs: Long,
+    val reclaimMs: Long,
+)
