See new jobs while the whole table is read after a lost history

Callers saw: urgent jobs that were handed in within a second after the store had forgotten its history waited up to 1.2 s before anything was done for them, and up to 1.7 s after an outage in which the store gave no answers.

Cause: the owner read the whole table of jobs before it followed changes again; and a feed call that was sent into the outage lasts its wait and a margin, 3 s together, whatever other calls show.

Change: after a lost history the feed goes on from the newest version, which any read tells, and the table is read beside it. Deletions that the feed shows during the read count against rows of the read. Without an answer the next calls for changes do not wait. JOBS_REREAD logs such a read and its time.

Result: JobFeedTest; its first, second and third test do not hold for the code before, which read the table first and always waited 2 s.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -12,7 +12,6 @@
 import org.orioleferry.scheduler.model.JobSpec
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.model.QueuePolicy
-import org.orioleferry.scheduler.store.FeedResult
 import org.orioleferry.scheduler.store.RowStore
 import org.orioleferry.scheduler.store.Rows
 import org.orioleferry.scheduler.store.ScanResult
@@ -66,6 +65,7 @@
             orders.onGone = runs::onGone
             val evacuation = Evacuation(clock, orders, dependencies.settings.maxStopMs)
             val fleet = Fleet(dependencies, ownership, runs, this, evacuation)
+            val jobFeed = JobFeed(store, clock, dependencies.log, jobRegistry::removeMissing, replan)
             val tickets = TicketProvider(dependencies, this, replan)
             val demands = Demands(dependencies, jobRegistry, fleet, tickets, runs::stopIncompleteGang)
             val placement =
@@ -76,7 +76,7 @@
             launch { writer.run() }
             launch { fleet.follow { planSignal.trySend(Unit) } }
             launch { QueueLengths(dependencies, ownership, jobRegistry).publish() }
-            launch { followJobs(jobsVersion, runs) }
+            launch { jobFeed.follow(jobsVersion) { row -> applyJobRow(row, runs) } }
             launch { purge() }
             planLoop(placement)
         }
@@ -138,39 +138,6 @@
         }
     }
 
-    private suspend fun followJobs(
-        fromVersion: Long,
-        runs: RunControl,
-    ) {
-        var seenVersion = fromVersion
-        while (true) {
-            when (val feed = store.feed(Rows.JOBS, seenVersion, FEED_WAIT_MS)) {
-                is FeedResult.Changes -> {
-                    seenVersion = feed.version
-                    feed.rows.forEach { applyJobRow(it, runs) }
-                    if (feed.rows.isNotEmpty()) planSignal.trySend(Unit)
-                }
-                FeedResult.HistoryLost -> seenVersion = rereadJobs(runs) ?: seenVersion
-                is FeedResult.Unavailable -> delay(RETRY_MS)
-            }
-        }
-    }
-
-    private suspend fun rereadJobs(runs: RunControl): Long? {
-        val scans = (0 until Rows.JOB_PARTS).map { store.scanAll(Rows.JOBS, it.toString()) }
-        val completed = scans.filterIsInstance<ScanResult.Rows>()
-        if (completed.size < scans.size) {
-            delay(RETRY_MS)
-            return null
-        }
-        val rows = completed.flatMap { it.rows }
-        val version = completed.minOf { it.version }
-        rows.forEach { applyJobRow(it, runs) }
-        jobRegistry.removeMissing(rows, version)
-        planSignal.trySend(Unit)
-        return version
-    }
-
     private fun applyJobRow(
         row: StoredRow,
         runs: RunControl,
@@ -205,8 +172,6 @@
     }
 
     private companion object {
-        const val FEED_WAIT_MS = 2_000
-
         // Loading takes about 0.2 s without faults; the narrowest link of the deployments takes 2 s for 500 jobs.
         const val LOAD_TIMEOUT_MS = 6_000L
         const val PARALLEL_READS = 3
