Stop and order runs by what it costs callers when room is short

Cause: the choice of victims counts the time since the last listed checkpoint as lost, although workers write a checkpoint when they stop a run that saves progress; nothing compares what a stop discards with what the step needs; urgent steps are ordered by due time alone; a gang wider than any rack waits twice its estimate for a single rack.

Change, with SchedulerSettings.shortage only: StopCosts counts a stop and a restore for runs that save progress, and each earlier stop of a task once more; preemptionBudgetCoreMs limits what is discarded to four times the work of the step, and to nothing for a step that is late in any case, except for guaranteed work that has to begin; queuePositionByDelayCost puts steps that can end in time first and small ones before wide ones, with a bound for every wait; wide steps go across racks at once; single accelerators are packed. PREEMPTION_UNUSED and discardedCoreMs show what stops cost.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
@@ -67,5 +67,6 @@
     WORKER_CRASHED(8419),
     TASK_SUSPECTED(8420),
     TASK_GIVEN_UP(8421),
+    PREEMPTION_UNUSED(8422),
     INTERNAL_ERROR(8901),
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
@@ -1,11 +1,18 @@
 package org.orioleferry.scheduler.owner
 
+import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.placement.Demand
 import org.orioleferry.scheduler.placement.QueuePosition
+import org.orioleferry.scheduler.placement.QueueWork
+import org.orioleferry.scheduler.placement.Rank
 import org.orioleferry.scheduler.placement.TrialPlacement
+import org.orioleferry.scheduler.placement.WaitingStep
+import org.orioleferry.scheduler.placement.preemptionBudgetCoreMs
+import org.orioleferry.scheduler.placement.queuePositionByDelayCost
 import org.orioleferry.scheduler.placement.queuePositionOf
 import org.orioleferry.scheduler.placement.trialPlacementOf
+import org.orioleferry.scheduler.placement.weightedCores
 
 /** Tasks of one step that are placed together; all but the trials of suspects are placed as one demand. */
 internal class WaitingTasks(
@@ -22,6 +29,8 @@
     private val stopIncompleteGang: (StepRun) -> Unit,
 ) {
     private val clock = dependencies.clock
+    private val shortage = dependencies.settings.shortage
+    private val queueWork = QueueWork()
 
     /** Whether [task] can be started: its last run has ended, and nothing delays its next one. */
     fun isWaiting(task: Task): Boolean =
@@ -91,12 +100,15 @@
         val service = manifest.queue(job.queue)?.service ?: job.service
         val advice = manifest.policyOf(job).advice
         val isTrial = trial != TrialPlacement.NONE
-        if (!isTrial && !isReserved(step, width, now)) step.reserved = emptyList()
+        if (!isTrial && !isReserved(step, width, now)) dropReservation(step, now)
+        val rank = ranks.of(step.job)
+        val delayed = waitingStepOf(waiting, rank)
+        val position = positionOf(step, delayed)
         return Demand(
             key = waiting,
             service = service,
-            rank = ranks.of(step.job),
-            position = positionOf(step),
+            rank = rank,
+            position = if (decidesByCost(rank)) queuePositionByDelayCost(position, delayed) else position,
             need = step.countedNeed,
             width = width,
             isGang = spec.isGang,
@@ -113,6 +125,9 @@
             estimateMs = spec.estimateMs,
             hasLatencyTarget = spec.latencyTargetMs > 0,
             usesSpareCpu = spec.usesSpareCpu,
+            preemptionBudgetCoreMs =
+                shortage?.let { preemptionBudgetCoreMs(delayed, dependencies.settings.maxStopMs, it) }
+                    ?: Long.MAX_VALUE,
             reserved = if (isTrial) emptyList() else step.reserved.map { it.id },
             allowed = advice?.let { latency -> tickets.allowedWorkers(step, latency, usableOf(service)) },
             trial = trial,
@@ -132,20 +147,64 @@
     private fun usableOf(service: String): List<WorkerSession> =
         fleet.sessions.filter { it.listed.service == service && fleet.isUsable(it) }
 
-    private fun positionOf(step: StepRun): QueuePosition {
-        val job = step.job
-        val spec = job.accepted.spec
-        val beginMs = spec.schedule?.dueMs(step.occurrence) ?: job.accepted.acceptedMs
-        val objectiveMs = jobRegistry.objectiveMsOf(job)
-        return queuePositionOf(
-            nowMs = clock.wallMs(),
+    /** Whether the order among demands of [rank] follows the cost of a delay. */
+    private fun decidesByCost(rank: Int): Boolean = shortage != null && Rank.isUrgent(rank)
+
+    /** Drops the workers that were reserved for [step]; the stops that emptied them were in vain. */
+    private fun dropReservation(
+        step: StepRun,
+        nowMs: Long,
+    ) {
+        if (step.reserved.isEmpty()) return
+        dependencies.log.record(
+            SchedulerEvent.PREEMPTION_UNUSED,
+            step.job.id,
+            "step" to step.index,
+            "workers" to step.reserved.size,
+            "victims" to step.preemptedRuns,
+            "reservedMs" to nowMs - step.reservedAtMs,
+        )
+        step.reserved = emptyList()
+    }
+
+    private fun waitingStepOf(
+        waiting: WaitingTasks,
+        rank: Int,
+    ): WaitingStep {
+        val step = waiting.step
+        val spec = step.job.accepted.spec
+        val now = clock.wallMs()
+        val beginMs = spec.schedule?.dueMs(step.occurrence) ?: step.job.accepted.acceptedMs
+        val objectiveMs = jobRegistry.objectiveMsOf(step.job)
+        val taskWork = step.spec.estimateMs * step.spec.need.weightedCores
+        if (!step.isWorkRecorded) {
+            step.isWorkRecorded = true
+            queueWork.record(spec.queue, taskWork * step.spec.count)
+        }
+        return WaitingStep(
+            nowMs = now,
             dueMs = beginMs + objectiveMs,
             valueExpiryMs = beginMs + LATE_FACTOR * objectiveMs,
             remainingMs = spec.chainFromMs(step.index),
-            waitingShare = waitingShareOf(job.steps(step.occurrence)),
+            sinceAcceptedMs = now - beginMs,
+            workCoreMs = taskWork * waiting.tasks.size,
+            meanWorkCoreMs = queueWork.meanOf(spec.queue),
+            isGuaranteed = rank == Rank.GUARANTEED,
         )
     }
 
+    private fun positionOf(
+        step: StepRun,
+        waiting: WaitingStep,
+    ): QueuePosition =
+        queuePositionOf(
+            nowMs = waiting.nowMs,
+            dueMs = waiting.dueMs,
+            valueExpiryMs = waiting.valueExpiryMs,
+            remainingMs = waiting.remainingMs,
+            waitingShare = waitingShareOf(step.job.steps(step.occurrence)),
+        )
+
     /** Returns the share of the work of [steps], all steps of one occurrence, that is neither done nor running. */
     private fun waitingShareOf(steps: List<StepRun>): Double {
         val waiting = steps.sumOf { step -> workOf(step) * step.tasks.count { !it.isDone && it.run == null } }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -36,6 +36,9 @@
     /** Incarnation of [unresolvedWorker] on which the run was started, or 0 if it is not known. */
     var unresolvedIncarnationMs = 0L
 
+    /** Number of times that the task was stopped in this term to make room for others. */
+    var preemptions = 0
+
     /** Monotonic time before which the task is not started again. */
     var notBeforeMs = 0L
 }
@@ -69,6 +72,12 @@
     /** Monotonic time at which [reserved] was set. */
     var reservedAtMs = 0L
 
+    /** Number of runs that were stopped for [reserved]. */
+    var preemptedRuns = 0
+
+    /** Whether the work of the step is part of the mean of its queue. */
+    var isWorkRecorded = false
+
     /** Returns the number of failed attempts that count against the limit of [task]; a gang fails as a whole. */
     fun failuresOf(task: Task): Int =
         if (spec.isGang) tasks.flatMapTo(HashSet()) { it.failedAttempts }.size else task.failedAttempts.size
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -7,12 +7,15 @@
 import org.orioleferry.scheduler.placement.PlannerSettings
 import org.orioleferry.scheduler.placement.STABLE_WORKER_MS
 import org.orioleferry.scheduler.placement.ServiceRank
+import org.orioleferry.scheduler.placement.StopCost
+import org.orioleferry.scheduler.placement.StopCosts
 import org.orioleferry.scheduler.placement.TRIAL_MS
 import org.orioleferry.scheduler.placement.TrialPlacement
 import org.orioleferry.scheduler.placement.Victim
 import org.orioleferry.scheduler.placement.WorkerResources
 import org.orioleferry.scheduler.placement.WorkerSpeedEstimator
 import org.orioleferry.scheduler.placement.countedAccelerators
+import org.orioleferry.scheduler.placement.weightedCores
 
 /** Runs [Planner] passes over the owner's state and executes the resulting plans. */
 internal class Placement(
@@ -25,7 +28,15 @@
     private val tickets: TicketProvider,
     private val demands: Demands,
 ) {
-    private val planner = Planner(PlannerSettings(stopDurationMs = dependencies.settings.maxStopMs))
+    private val planner =
+        Planner(
+            PlannerSettings(
+                stopDurationMs = dependencies.settings.maxStopMs,
+                placesWideStepsAtOnce = dependencies.settings.shortage != null,
+                keepsRacksWhole = dependencies.settings.shortage != null,
+            ),
+        )
+    private val stopCosts = StopCosts(dependencies.settings.maxStopMs, dependencies.settings.shortage)
     private val urgentReserve = UrgentReserve(dependencies.settings.maxStopMs)
     private val clock = dependencies.clock
     private val usageLog = UsageLog(clock, dependencies.log)
@@ -59,13 +70,18 @@
             val step = preemption.demand.key.step
             step.reserved = preemption.workers.mapNotNull { fleet[it] }
             step.reservedAtMs = clock.monotonicMs()
+            step.preemptedRuns = preemption.victims.sumOf { it.size }
             dependencies.log.record(
                 SchedulerEvent.STEP_PREEMPTS,
                 step.job.id,
                 "step" to step.index,
                 "victims" to preemption.victims.size,
+                "runs" to step.preemptedRuns,
             )
-            preemption.victims.forEach { victim -> victim.forEach { orders.stop(it, "preempted by ${step.job.id}") } }
+            preemption.victims.flatten().forEach { run ->
+                run.task.preemptions++
+                orders.stop(run, "preempted by ${step.job.id}")
+            }
         }
         usageLog.record(fleet.sessions, waiting.map { it.key.step }.distinct(), plan)
     }
@@ -179,11 +195,16 @@
 
     /** Returns the work that preempting [run] loses, in ms of one core, including the cost of its restart. */
     private fun lostCoreMs(run: Run): Long {
-        val spec = run.task.step.spec
-        val sinceMs = if (spec.savesProgress) maxOf(run.checkpointedAtMs, run.startedAtMs) else run.startedAtMs
-        val lostMs = if (spec.isLasting) LASTING_COST_MS else clock.monotonicMs() - sinceMs
-        return (lostMs + RESTART_COST_MS) *
-            (spec.need.cpuMillis / 1_000 + spec.need.accelerators * CORES_PER_ACCELERATOR)
+        val task = run.task
+        val stop =
+            StopCost(
+                savesProgress = task.step.spec.savesProgress,
+                isLasting = task.step.spec.isLasting,
+                elapsedMs = clock.monotonicMs() - run.startedAtMs,
+                sinceCheckpointMs = clock.monotonicMs() - maxOf(run.checkpointedAtMs, run.startedAtMs),
+                preemptions = task.preemptions,
+            )
+        return stopCosts.lostMs(stop) * task.step.spec.need.weightedCores
     }
 
     private fun start(
@@ -218,16 +239,7 @@
         const val WAITING_PASS_PERIOD_MS = 250L
         const val IDLE_PASS_PERIOD_MS = 5_000L
 
-        // Weight of an accelerator in the comparison of work.
-        const val CORES_PER_ACCELERATOR = 8
-
-        // Lasting tasks are stopped last: the work of other tasks is lost in seconds, theirs is missed by their users.
-        const val LASTING_COST_MS = 60_000L
-
         // A lasting task is at work when it shows this progress.
         const val AT_WORK_PERCENT = 100
-
-        // Approximate cost of a restart in addition to the lost work.
-        const val RESTART_COST_MS = 600L
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -6,6 +6,7 @@
 import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.placement.TRIAL_MS
+import org.orioleferry.scheduler.placement.weightedCores
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunEndRecord
 import org.orioleferry.scheduler.workers.RunEnding
@@ -37,6 +38,7 @@
             "worker" to session.id,
             "how" to end.ending,
             "number" to end.number,
+            "discardedCoreMs" to (session.runs[end.id]?.let { discardedCoreMs(it, end) } ?: 0),
         )
         session.runs[end.id]?.let { run ->
             if (end.ending == RunEnding.DONE) progressMonitor.recordCompletion(run)
@@ -47,6 +49,15 @@
         return jobRegistry.guarded(end.id.task.job) { applyEnd(session, end) } ?: writer.latestSequence
     }
 
+    /** Returns the work of [run] in core-ms that [end] has discarded: all of it, unless it is done or saved. */
+    private fun discardedCoreMs(
+        run: Run,
+        end: RunEndRecord,
+    ): Long {
+        if (end.ending == RunEnding.DONE || end.checkpoint.isNotEmpty()) return 0
+        return run.provenMs(clock.monotonicMs()) * run.task.step.spec.need.weightedCores
+    }
+
     private fun applyEnd(
         session: WorkerSession,
         end: RunEndRecord,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -195,6 +195,12 @@
         width: Int = demand.width,
     ): List<String> {
         val chosen = ArrayList<String>(width)
+        val freeWorkersByRack =
+            if (settings.keepsRacksWhole && demand.need.accelerators <= 1 && !demand.isGang) {
+                workers.filter { it.runCount == 0 }.groupingBy { it.rack }.eachCount()
+            } else {
+                emptyMap()
+            }
         val order =
             compareBy<WorkerResources>(
                 { it.consecutiveFailures },
@@ -203,6 +209,7 @@
                 { if (demand.trial == TrialPlacement.NONE) 0 else it.unprovenRunCount },
                 { if (demand.trial == TrialPlacement.NONE) 0 else it.runCount },
                 { speedTier(demand, it) },
+                { if (it.runCount == 0) freeWorkersByRack[it.rack] ?: 0 else 0 },
                 { freeCoreMillis(demand, it) },
                 { it.id },
             )
@@ -257,6 +264,7 @@
     /** Whether the demand has waited long enough to run outside the rack of its data or across several racks. */
     private fun <K> canRunRemote(demand: Demand<K>): Boolean {
         if (demand.dataRack.isEmpty() && !demand.sameRack) return true
+        if (isWiderThanRacks(demand)) return true
         if (demand.waitedMs > demand.estimateMs * settings.remoteWaitFactor) return true
         if (demand.waitedMs < settings.remoteWaitMs) return false
         val total = totalAccelerators[demand.service] ?: 0
@@ -264,6 +272,17 @@
         return total == 0 || free > total * (1 - settings.lightUtilisation)
     }
 
+    /**
+     * Whether [demand] has to be spread over several racks at any load: it is placed as a whole, and no rack that it may use
+     * has enough workers for it. Its wait for a single rack would be in vain.
+     */
+    fun isWiderThanRacks(demand: Demand<*>): Boolean {
+        if (!settings.placesWideStepsAtOnce || !(demand.sameRack || demand.isGang)) return false
+        val usable = workersByService[demand.service].orEmpty().filter { isEligible(demand, it) }
+        val racks = usable.filter { demand.dataRack.isEmpty() || it.rack == demand.dataRack }.groupBy { it.rack }
+        return racks.values.none { rack -> rack.sumOf { slotsWhenEmpty(demand, it) } >= demand.width }
+    }
+
     private companion object {
         // Speeds are rounded to eighths, since the estimated speeds cannot resolve differences below a tenth.
         const val SPEED_TIERS = 8
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -72,6 +72,8 @@
  * @property waitedMs time since the step became ready, ms.
  * @property allowed ids of the only workers that may run the step, or null when all may.
  * @property trial how the trial of tasks that may crash their workers is placed.
+ * @property preemptionBudgetCoreMs most work in core-ms, with an accelerator counted as 8 cores, that may be discarded in
+ *   favour of the tasks.
  * @property reserved workers that were emptied by preemption for this step, one entry for each task.
  */
 internal data class Demand<K>(
@@ -91,6 +93,7 @@
     val estimateMs: Long = 0,
     val hasLatencyTarget: Boolean = false,
     val usesSpareCpu: Boolean = false,
+    val preemptionBudgetCoreMs: Long = Long.MAX_VALUE,
     val reserved: List<String> = emptyList(),
     val allowed: Set<String>? = null,
     val trial: TrialPlacement = TrialPlacement.NONE,
@@ -165,7 +168,7 @@
         inUse: Map<ServiceRank, Int> = emptyMap(),
     ): Plan<K, V> {
         val pass = PlacementPass(workerResources, settings)
-        val preemption = PreemptionSearch(workerResources, victims, settings, pass::remainingTaskLimit)
+        val preemption = PreemptionSearch(workerResources, victims, settings, pass)
         val placed = ArrayList<Placed<K>>()
         val preemptions = ArrayList<Preemption<K, V>>()
         val (withReservation, others) = demands.partition { it.reserved.isNotEmpty() }
@@ -255,6 +258,9 @@
  *   equals the duration of a stop.
  * @property maxVictimSearches searches for victims in one pass. Each search looks at all workers; demands beyond the
  *   limit are searched for in a later pass.
+ * @property placesWideStepsAtOnce whether a step that does not fit into any single rack, even an empty one, is placed across
+ *   racks without waiting for one.
+ * @property keepsRacksWhole whether tasks with a single accelerator are kept out of racks with many free workers.
  * @property minShare share of a service's accelerators that each rank below the highest non-urgent one may use before
  *   that one is served, so that lasting load of one priority does not stop all work of the priorities below it.
  */
@@ -268,4 +274,6 @@
     val stopDurationMs: Long = 900,
     val maxVictimSearches: Int = 16,
     val minShare: Double = 0.1,
+    val placesWideStepsAtOnce: Boolean = false,
+    val keepsRacksWhole: Boolean = false,
 )
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -14,7 +14,7 @@
     private val workers: List<WorkerResources>,
     victims: List<Victim<V>>,
     private val settings: PlannerSettings,
-    private val remainingTaskLimit: (Demand<*>, WorkerResources) -> Int,
+    private val pass: PlacementPass,
 ) {
     private val available = LinkedHashSet(victims)
     private val failedDemands = ArrayList<Demand<*>>()
@@ -32,17 +32,24 @@
      * the pass has used up its searches. Victims that are selected are not considered for later demands.
      */
     fun <K> find(demand: Demand<K>): Preemption<K, V>? {
+        if (demand.preemptionBudgetCoreMs <= 0) return null
         if (available.none { demand.mayPreempt(it) } || failedDemands.any { demand.isAtLeastAsHardAs(it) }) return null
         if (searches == settings.maxVictimSearches) return null
         searches++
         val usable = workers.filter { isEligible(demand, it) && !it.isTroubled }
         val nearData = usable.filter { demand.dataRack.isEmpty() || it.rack == demand.dataRack }
-        val groups = if (demand.sameRack) nearData.groupBy { it.rack }.values.toList() else listOf(nearData)
+        val groups =
+            when {
+                pass.isWiderThanRacks(demand) -> listOf(usable)
+                demand.sameRack -> nearData.groupBy { it.rack }.values.toList()
+                else -> listOf(nearData)
+            }
         val best = groups.mapNotNull { Search(demand, it).run() }.minByOrNull { it.cost }
         if (best == null) {
             failedDemands += demand
             return null
         }
+        if (best.cost > demand.preemptionBudgetCoreMs) return null
         available.removeAll(best.victims)
         val stopped = best.victims.filterNot { endsSoon(it) }
         return Preemption(demand, best.workers, stopped.map { it.key })
@@ -202,7 +209,8 @@
             free: Resources,
         ): Int = free.countFitting(demand.need, maxOf(0, slotLimit(worker)))
 
-        private fun slotLimit(worker: WorkerResources): Int = minOf(demand.width, remainingTaskLimit(demand, worker))
+        private fun slotLimit(worker: WorkerResources): Int =
+            minOf(demand.width, pass.remainingTaskLimit(demand, worker))
 
         private fun resourcesOn(
             worker: WorkerResources,
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -370,4 +370,75 @@
         val placed = plan(workers, listOf(urgent, demand("narrow", width = 8, each = 1))).placed
         expectThat(placed).isEmpty()
     }
+
+    private fun costPlan(
+        workers: List<WorkerResources>,
+        demands: List<Demand<String>>,
+        victims: List<Victim<String>> = emptyList(),
+    ): Plan<String, String> =
+        Planner(PlannerSettings(placesWideStepsAtOnce = true, keepsRacksWhole = true)).plan(workers, demands, victims)
+
+    // Guards against a gang that waits twice its estimate for a rack which no rack of the service is large enough for.
+    @Test
+    fun `should place a gang that is wider than any rack across racks at once`() {
+        val workers = { List(4) { worker("w$it", rack = "r${it / 2}") } }
+        val wide = demand("wide", width = 3, each = 8, priority = 0, isGang = true, sameRack = true)
+        expectThat(costPlan(workers(), listOf(wide)).placed.single().workers).hasSize(3)
+        expectThat(plan(workers(), listOf(wide)).placed).isEmpty()
+        val narrow = wide.copy(width = 2)
+        val halfFull = listOf(worker("w0"), worker("w1", free = 0), worker("w2", rack = "r1"), worker("w3", 0, "r1"))
+        expectThat(costPlan(halfFull, listOf(narrow)).placed).isEmpty()
+    }
+
+    // Guards against a wide gang for which nothing is ever stopped, since the search looked at single racks only.
+    @Test
+    fun `should stop runs in several racks for a gang that is wider than any rack`() {
+        val workers = List(4) { worker("w$it", free = 0, rack = "r${it / 2}") }
+        val victims = workers.map { Victim("on ${it.id}", 2, accelerators(8), listOf(it.id), lostWorkCoreMs = 10) }
+        val wide = demand("wide", width = 3, each = 8, priority = 0, isGang = true, sameRack = true)
+        expectThat(costPlan(workers, listOf(wide), victims).preemptions.single().victims).hasSize(3)
+    }
+
+    // Guards against work that is discarded for more than it is worth: the step waits for the next free workers instead.
+    @Test
+    fun `should stop nothing that costs more than the budget of the step`() {
+        val workers = { listOf(worker("w0", free = 0), worker("w1", free = 0)) }
+        val victims =
+            listOf(
+                Victim("dear", 2, accelerators(8), listOf("w0"), lostWorkCoreMs = 1_000),
+                Victim("cheap", 2, accelerators(8), listOf("w1"), lostWorkCoreMs = 400),
+            )
+        val urgent = demand("urgent", width = 1, each = 8, priority = 0)
+        val stoppedFor = { budget: Long ->
+            val plan = costPlan(workers(), listOf(urgent.copy(preemptionBudgetCoreMs = budget)), victims)
+            plan.preemptions.flatMap { it.victims }
+        }
+        expectThat(stoppedFor(399)).isEmpty()
+        expectThat(stoppedFor(400)).isEqualTo(listOf("cheap"))
+        expectThat(stoppedFor(0)).isEmpty()
+    }
+
+    // Guards against a search that fails for its budget and keeps cheaper steps of the same pass from a search of their own.
+    @Test
+    fun `should search for a step after one with a smaller budget found nothing`() {
+        val workers = listOf(worker("w0", free = 0))
+        val victims = listOf(Victim("run", 2, accelerators(8), listOf("w0"), lostWorkCoreMs = 400))
+        val poor = demand("poor", width = 1, each = 8, priority = 0).copy(preemptionBudgetCoreMs = 10)
+        val rich = demand("rich", width = 1, each = 8, priority = 0).copy(preemptionBudgetCoreMs = 500)
+        val plan = costPlan(workers, listOf(poor, rich), victims)
+        expectThat(plan.preemptions.map { it.demand.key }).isEqualTo(listOf("rich"))
+    }
+
+    // Guards against batch tasks that are scattered over all racks, so that no rack has whole workers left for a gang.
+    @Test
+    fun `should keep tasks with one accelerator out of the rack with most free workers`() {
+        val workers = List(4) { worker("a$it", rack = "r0") } + List(2) { worker("b$it", rack = "r1") }
+        val plan = costPlan(workers, listOf(demand("batch", width = 12, each = 1)))
+        expectThat(
+            plan.placed
+                .single()
+                .workers
+                .toSet(),
+        ).isEqualTo(setOf("b0", "b1"))
+    }
 }
