Publish the forecast of waits in the lease row

Cause: instances that answer callers do not know the open work, which only the owner has in memory.

Other instances take it from the feed that they follow anyway, with an upper bound of its age: the row was written after the call before the one that brought it was sent. Without a wait the row is as before, and earlier versions ignore the field.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -9,6 +9,7 @@
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.SchedulerSettings
 import org.orioleferry.scheduler.ageOf
+import org.orioleferry.scheduler.model.LoadForecast
 import org.orioleferry.scheduler.now
 import org.orioleferry.scheduler.store.CommitResult
 import org.orioleferry.scheduler.store.FeedResult
@@ -47,6 +48,7 @@
     /** Value of the lease row as last read while another instance holds it, and the monotonic time of the read. */
     private var observedLease: LeaseValue? = null
     private var observedAtMs = 0L
+    private val forecasts = ForecastObserver(clock)
 
     /**
      * Whether [workspace] may add no open work, as the owner has last reported. False when nothing was heard of an owner
@@ -58,6 +60,12 @@
         return observedLease?.let { workspace in it.saturatedWorkspaces } ?: false
     }
 
+    /** Returns the owner's forecast of the waits of new work with an upper bound of its age, or null without one. */
+    public fun forecast(): LoadForecast? {
+        val ownership = current ?: return forecasts.current()
+        return ownership.forecast?.at(clock)
+    }
+
     /** Takes part in elections until cancelled. */
     public suspend fun run() {
         while (true) {
@@ -104,7 +112,9 @@
         var changedAtMs = clock.monotonicMs()
         var wasUnavailable = true
         var seenVersion = -1L
+        var seenAt = clock.now()
         while (true) {
+            val sentAt = clock.now()
             if (seenVersion < 0) {
                 val scan = store.read(Rows.lease)
                 if (scan !is ScanResult.Rows) {
@@ -124,6 +134,7 @@
                 wasUnavailable = false
                 latestRow = row
                 seenVersion = scan.version
+                seenAt = sentAt
             }
             val value = latestRow?.let { decode(it) }
             observedLease = value
@@ -139,9 +150,12 @@
             if (remainingMs <= 0) return latestRow
             when (val feed = store.feed(Rows.OWNER, seenVersion, minOf(remainingMs, FEED_WAIT_MS).toInt())) {
                 is FeedResult.Changes -> {
+                    val writtenAfter = seenAt
                     seenVersion = feed.version
+                    seenAt = sentAt
                     feed.rows.lastOrNull { it.key == Rows.lease }?.let {
                         latestRow = it
+                        forecasts.onChanged(decode(it), writtenAfter)
                         changedAtMs = clock.monotonicMs()
                         // Only prompt followers read every renewal. The others pause, which saves feed reads; they see
                         // a released lease later and acquire it only if no prompt follower does.
@@ -266,6 +280,7 @@
                     saturated,
                     runLeasesEndMs,
                     ownership.areEarlierRunLeasesBounded || runLeasesEndMs != null,
+                    ownership.forecast?.at(clock),
                 )
             val result = store.commit(leaseWrite(leaseVersion, value))
             val version =
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -76,6 +76,9 @@
             launch { writer.run() }
             launch { fleet.follow { planSignal.trySend(Unit) } }
             launch { QueueLengths(dependencies, ownership, jobRegistry).publish() }
+            if (dependencies.settings.shortage != null) {
+                launch { ForecastUpdater(dependencies, ownership, jobRegistry, fleet).run() }
+            }
             launch { followJobs(jobsVersion, runs) }
             launch { purge() }
             planLoop(placement)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
@@ -5,6 +5,7 @@
 import org.orioleferry.scheduler.ClockReading
 import org.orioleferry.scheduler.SchedulerSettings
 import org.orioleferry.scheduler.ageOf
+import org.orioleferry.scheduler.model.LoadForecast
 
 /**
  * Value of the lease row. An empty [holder] means that the ownership was released. [renewals] makes each renewal change
@@ -12,7 +13,7 @@
  * row, so it also names the [saturatedWorkspaces], which may add no open work. [runLeasesEndMs] is the time on the store's
  * clock at which the leases of all running tasks have ended, whatever the holder does before the next renewal; null if
  * it is not known. [boundsRunLeases] tells whether no owner of an earlier version, which does not write that time, may
- * have left leases that last longer.
+ * have left leases that last longer. [forecast] tells how long new work waits; null where nothing waits long.
  */
 @Serializable
 internal data class LeaseValue(
@@ -23,6 +24,7 @@
     val saturatedWorkspaces: Set<String> = emptySet(),
     val runLeasesEndMs: Long? = null,
     val boundsRunLeases: Boolean = false,
+    val forecast: LoadForecast? = null,
 )
 
 /** A reading of the store's clock in the answer to a call that was sent at [sentAt]. */
@@ -53,6 +55,9 @@
     /** Workspaces that may add no open work, as last determined by this owner. */
     internal var saturatedWorkspaces: Set<String> = emptySet()
 
+    /** Waits of new work as last computed by this owner, or null before that. */
+    internal var forecast: ComputedForecast? = null
+
     /** Whether the ownership has ended: released, its term over, or a worker has seen a higher epoch. */
     internal var isLost: Boolean = false
 
