Refuse jobs at submission that cannot be served in time

Cause: a job that cannot end while it still has value is accepted and held. It takes capacity from work that could end in time, and its caller learns nothing.

The row of the id is read first, so a repeated submission of an accepted job gets its acceptance.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobApi.kt
@@ -9,6 +9,9 @@
 import org.orioleferry.scheduler.model.JobLimits
 import org.orioleferry.scheduler.model.JobSpec
 import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.LoadForecast
+import org.orioleferry.scheduler.placement.AdmissionPolicy
+import org.orioleferry.scheduler.placement.LoadRefusal
 import org.orioleferry.scheduler.store.CommitResult
 import org.orioleferry.scheduler.store.RowCondition
 import org.orioleferry.scheduler.store.RowStore
@@ -23,6 +26,8 @@
  * Accepts jobs, cancels them and reports their state. Works on any instance, since it only uses the store.
  *
  * @param isSaturated whether the owner has reported that a workspace may add no open work.
+ * @param forecast returns the owner's forecast of the waits of new work with its age, or null without one; used only
+ *   where [SchedulerSettings.shortage] is set.
  */
 public class JobApi(
     private val store: RowStore,
@@ -30,9 +35,11 @@
     private val log: DecisionLog,
     settings: SchedulerSettings,
     private val isSaturated: (workspace: String) -> Boolean = { false },
+    private val forecast: () -> LoadForecast? = { null },
     private val isStoreUnavailable: () -> Boolean = { false },
 ) {
     private val maxRowBytes = settings.maxRowBytes
+    private val refusesByLoad = settings.shortage != null
     private val limits = JobLimits(maxRowBytes)
     private val endedStates = EndedStateCache()
     private val rows = JobRowReader(store, clock, log, isStoreUnavailable)
@@ -51,12 +58,16 @@
     ): SubmitResult {
         limits.violationOf(spec)?.let { return SubmitResult.Invalid(it) }
         if (isStoreUnavailable()) return SubmitResult.NotAccepted(STORE_UNAVAILABLE_REASON)
-        if (isSaturated(spec.workspace)) return repeatOrTooMuch(spec)
+        if (isSaturated(spec.workspace)) {
+            return repeatOr(spec, clock.monotonicMs() + MAX_WAIT_MS) { SubmitResult.TooMuchOpenWork }
+        }
         val endMs = clock.monotonicMs() + minOf(timeoutMs, MAX_WAIT_MS)
         val key = Rows.job(spec.id)
         val value = Rows.encode(AcceptedJob(spec, clock.wallMs()))
         val bytes = value.encodeToByteArray().size
         if (bytes > maxRowBytes) return SubmitResult.Invalid("the job has $bytes bytes, more than $maxRowBytes")
+        val refusal = if (refusesByLoad) AdmissionPolicy.refusalOf(spec, forecast()) else null
+        if (refusal != null) return repeatOr(spec, endMs) { refused(spec, refusal) }
         var expectedVersion = 0L
         var isUncertain = false
         while (true) {
@@ -81,15 +92,42 @@
         }
     }
 
-    /** Accepts [spec] only if an earlier call has stored it, since a refusal says that the job never runs. */
-    private suspend fun repeatOrTooMuch(spec: JobSpec): SubmitResult =
-        when (val row = rows.read(Rows.job(spec.id), clock.monotonicMs() + MAX_WAIT_MS)) {
+    /**
+     * Accepts [spec] if an earlier call has stored it, since a refusal says that the job never runs; otherwise returns the
+     * result of [refuse]. Reads the job's row until [endMs] on the monotonic clock.
+     */
+    private suspend fun repeatOr(
+        spec: JobSpec,
+        endMs: Long,
+        refuse: () -> SubmitResult,
+    ): SubmitResult =
+        when (val row = rows.read(Rows.job(spec.id), endMs)) {
             is LookupResult.Found -> onConflict(spec, row.value)
-            LookupResult.NoSuchJob -> SubmitResult.TooMuchOpenWork
+            LookupResult.NoSuchJob -> refuse()
             is LookupResult.Unavailable -> SubmitResult.NotAccepted(row.reason)
             is LookupResult.Unknown -> SubmitResult.NotAccepted(row.reason)
         }
 
+    private fun refused(
+        spec: JobSpec,
+        refusal: LoadRefusal,
+    ): SubmitResult {
+        log.record(
+            SchedulerEvent.JOB_REFUSED,
+            spec.id,
+            "queue" to spec.queue,
+            "workspace" to spec.workspace,
+            "service" to spec.service,
+            "priority" to spec.policy?.priority,
+            "waitMs" to refusal.waitMs,
+            "forecastAgeMs" to refusal.ageMs,
+            "chainMs" to refusal.chainMs,
+            "limitMs" to refusal.limitMs,
+            "retryAfterS" to refusal.retryAfterS,
+        )
+        return SubmitResult.NoCapacity(refusal.retryAfterS)
+    }
+
     private fun accepted(
         spec: JobSpec,
         input: Pair<String, Any?>,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobResults.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/JobResults.kt
@@ -18,6 +18,14 @@
      */
     public data object TooMuchOpenWork : SubmitResult
 
+    /**
+     * The work ahead of the job leaves it no chance to end while it still has value. The job is not stored and this call
+     * will not store it later either. It may be accepted after [retryAfterS] seconds.
+     */
+    public data class NoCapacity(
+        val retryAfterS: Int,
+    ) : SubmitResult
+
     /** The workspace has cancelled the job before it was stored. It is not stored and never runs. */
     public data object Cancelled : SubmitResult
 
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -12,6 +12,7 @@
 import org.orioleferry.scheduler.DecisionLog
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.SchedulerSettings
+import org.orioleferry.scheduler.ShortageSettings
 import org.orioleferry.scheduler.callers.JobApi
 import org.orioleferry.scheduler.callers.LookupResult
 import org.orioleferry.scheduler.callers.SubmitResult
@@ -105,6 +106,9 @@
     /** Workers among [deregisteredWorkers] that have deleted their own entry. */
     val departedWorkers = HashSet<String>()
 
+    /** Figures for decisions by cost of the instances that are created from now on, or null without these decisions. */
+    var shortage: ShortageSettings? = null
+
     /** Answer of the simulated advice service. */
     var advice: (StepId, List<String>) -> AdviceResult = { _, _ -> AdviceResult.Unavailable("none") }
     var manifest =
@@ -126,7 +130,7 @@
     ) {
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
-        private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs)
+        private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs, shortage = shortage)
         val link = Link()
         private val dependencies =
             OwnerDependencies(
@@ -141,7 +145,8 @@
                 advice(step, asked)
             }
         val election = Election(store, clock, settings, NO_LOG) { runOwnerTerm(dependencies, it) }
-        val jobApi = JobApi(store, clock, NO_LOG, settings, election::isSaturated) { health.isUnavailable }
+        val jobApi =
+            JobApi(store, clock, log, settings, election::isSaturated, election::forecast) { health.isUnavailable }
         private var work: Job? = null
 
         /** Runs the coroutines of this instance; pausing it suspends the process. */
