Test that jobs which fit no worker are neither refused nor counted

Cause: a step that no worker can hold waits until the capacity changes. The forecast must not refuse it for its size, nor refuse the work beside it.

Change: a test in virtual time with hours of such work beside an idle service. The forecast already leaves it out.

--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/RefusalByLoadTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/RefusalByLoadTest.kt
@@ -8,6 +8,7 @@
 import org.orioleferry.scheduler.model.JobSchedule
 import org.orioleferry.scheduler.model.JobSpec
 import org.orioleferry.scheduler.model.JobState
+import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.simulation.Outcome
 import org.orioleferry.scheduler.simulation.SimulatedCluster
@@ -175,6 +176,26 @@
             expectThat(next.isOwner).isEqualTo(true)
         }
 
+    // Guards against work that can never be placed: that it is refused, although capacity may change, or that the other jobs of
+    // an idle service are refused because of it. Hours of work that needs 9 of a worker's 8 accelerators, or an unknown label.
+    @Test
+    fun `should accept jobs that fit no worker and jobs beside them`() =
+        runTest {
+            val cluster = cluster()
+            val one = cluster.Instance("one").also { it.start() }
+            delay(10_000)
+            val wide = task.copy(count = 400, need = Resources(1_000, 1_000, 9), estimateMs = 60_000)
+            val unknown = task.copy(count = 400, label = "unknown", estimateMs = 60_000)
+            listOf("wide" to wide, "unknown" to unknown).forEach { (id, step) ->
+                expectThat(cluster.submit(one, id, "routine", step)).isEqualTo(SubmitResult.Accepted(false))
+                delay(3_000)
+                expectThat(cluster.submit(one, "$id-again", "routine", step)).isEqualTo(SubmitResult.Accepted(false))
+                expectThat(cluster.submit(one, "beside-$id", "routine", task)).isEqualTo(SubmitResult.Accepted(false))
+            }
+            delay(8_000)
+            expectThat(one.election.forecast()).isNull()
+        }
+
     // Guards against a forecast that the next owner does not continue: the flood outlasts a change of owner.
     @Test
     fun `should go on refusing under the next owner while the flood lasts`() =
