--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -77,6 +77,9 @@
             launch { fleet.follow { planSignal.trySend(Unit) } }
             launch { QueueLengths(dependencies, ownership, jobRegistry).publish() }
             launch { jobFeed.follow(jobsVersion) { row -> applyJobRow(row, runs) } }
+            if (dependencies.settings.shortage != null) {
+                launch { ForecastUpdater(dependencies, ownership, jobRegistry, fleet).run() }
+            }
             launch { purge() }
             planLoop(placement)
         }
