--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/ManifestHolder.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/callers/ManifestHolder.kt
@@ -25,7 +25,20 @@
      * Whether the store confirmed within [SchedulerSettings.maxManifestAgeMs] that there is no newer manifest, which
      * may revoke keys.
      */
-    public val isFresh: Boolean get() = ageMs?.let { it < settings.maxManifestAgeMs } ?: false
+    public val isFresh: Boolean get() =
+        (ageMs?.let { it < settings.maxManifestAgeMs } ?: false) && (current?.version ?: 0) >= newestKnownVersion
+
+    /** Highest version by which a call that this instance passed on was answered. */
+    @Volatile
+    private var newestKnownVersion = 0L
+
+    /**
+     * Records that another instance has answered a caller of this one by [version]. A lower version in force here is
+     * outdated from then on, since callers must not see an earlier version after a later one.
+     */
+    public fun recordNewerVersion(version: Long) {
+        newestKnownVersion = maxOf(newestKnownVersion, version)
+    }
 
     /** Time in ms since the call was sent whose answer last confirmed the manifest, or null before the first. */
     public val ageMs: Long? get() = confirmedAt?.let { clock.ageOf(it) }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Election.kt
@@ -58,6 +58,16 @@
         return observedLease?.let { workspace in it.saturatedWorkspaces } ?: false
     }
 
+    /**
+     * Address at which the owner that this instance last read about answers callers, or null when it is this instance, is
+     * not known, or was read more than [MAX_ADDRESS_AGE_MS] ago.
+     */
+    public val ownerAddress: String? get() {
+        if (current != null || clock.monotonicMs() - observedAtMs > MAX_ADDRESS_AGE_MS) return null
+        val lease = observedLease?.takeIf { it.holder != settings.instance } ?: return null
+        return lease.callerAddress.ifEmpty { null }
+    }
+
     /** Takes part in elections until cancelled. */
     public suspend fun run() {
         while (true) {
@@ -173,7 +183,15 @@
         val epoch = earlierEpoch + 1
         val sentAt = clock.now()
         val isBounded = row == null || earlier?.boundsRunLeases == true
-        val value = LeaseValue(settings.instance, epoch, 0, settings.leaseTtlMs, boundsRunLeases = isBounded)
+        val value =
+            LeaseValue(
+                settings.instance,
+                epoch,
+                0,
+                settings.leaseTtlMs,
+                boundsRunLeases = isBounded,
+                callerAddress = settings.callerAddress,
+            )
         val write = leaseWrite(row?.version ?: 0, value)
         val fence = RowWrite(Rows.fence, "$epoch ${settings.instance}")
         val result = store.commit(write.copy(writes = write.writes + fence))
@@ -266,6 +284,7 @@
                     saturated,
                     runLeasesEndMs,
                     ownership.areEarlierRunLeasesBounded || runLeasesEndMs != null,
+                    settings.callerAddress,
                 )
             val result = store.commit(leaseWrite(leaseVersion, value))
             val version =
@@ -313,6 +332,10 @@
         }
 
     private companion object {
+        // An instance that the store does not serve cannot read about a later owner. The outages that the deployments state
+        // last up to 12 s.
+        const val MAX_ADDRESS_AGE_MS = 20_000L
+
         // Allows several retries before the lease expires.
         const val RETRY_MS = 150L
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
@@ -12,7 +12,7 @@
  * row, so it also names the [saturatedWorkspaces], which may add no open work. [runLeasesEndMs] is the time on the store's
  * clock at which the leases of all running tasks have ended, whatever the holder does before the next renewal; null if
  * it is not known. [boundsRunLeases] tells whether no owner of an earlier version, which does not write that time, may
- * have left leases that last longer.
+ * have left leases that last longer. [callerAddress] is [SchedulerSettings.callerAddress] of the holder.
  */
 @Serializable
 internal data class LeaseValue(
@@ -23,6 +23,7 @@
     val saturatedWorkspaces: Set<String> = emptySet(),
     val runLeasesEndMs: Long? = null,
     val boundsRunLeases: Boolean = false,
+    val callerAddress: String = "",
 )
 
 /** A reading of the store's clock in the answer to a call that was sent at [sentAt]. */
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/ElectionTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/ElectionTest.kt
@@ -121,4 +121,21 @@
             }
         }
     }
+
+    // Guards against callers that have to come back although the owner, which the store serves, could answer them.
+    @Test
+    fun `should know where the owner answers callers from the lease that it renews`() =
+        runTest {
+            val cluster = SimulatedCluster(this)
+            val owner = cluster.Instance("owner", callerAddress = "10.1.0.1:80").apply { start() }
+            delay(1_000)
+            val other = cluster.Instance("other", callerAddress = "10.1.0.2:80").apply { start() }
+            delay(2_000)
+            expectThat(other.election.ownerAddress).isEqualTo("10.1.0.1:80")
+            expectThat(owner.election.ownerAddress).isNull()
+            owner.kill()
+            delay(4_000)
+            expectThat(other.isOwner).isTrue()
+            expectThat(other.election.ownerAddress).isNull()
+        }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -123,10 +123,12 @@
     inner class Instance(
         val name: String,
         candidateDelayMs: Long = 0,
+        callerAddress: String = "",
     ) {
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
-        private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs)
+        private val settings =
+            SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs, callerAddress = callerAddress)
         val link = Link()
         private val dependencies =
             OwnerDependencies(
