--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Ownership.kt
@@ -14,6 +14,7 @@
  * clock at which the leases of all running tasks have ended, whatever the holder does before the next renewal; null if
  * it is not known. [boundsRunLeases] tells whether no owner of an earlier version, which does not write that time, may
  * have left leases that last longer. [forecast] tells how long new work waits; null where nothing waits long.
+ * [callerAddress] is [SchedulerSettings.callerAddress] of the holder.
  */
 @Serializable
 internal data class LeaseValue(
@@ -25,6 +26,7 @@
     val runLeasesEndMs: Long? = null,
     val boundsRunLeases: Boolean = false,
     val forecast: LoadForecast? = null,
+    val callerAddress: String = "",
 )
 
 /** A reading of the store's clock in the answer to a call that was sent at [sentAt]. */
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -127,10 +127,18 @@
     inner class Instance(
         val name: String,
         candidateDelayMs: Long = 0,
+        callerAddress: String = "",
     ) {
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
-        private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs, shortage = shortage)
+        private val settings =
+            SchedulerSettings(
+                name,
+                "dc",
+                candidateDelayMs = candidateDelayMs,
+                callerAddress = callerAddress,
+                shortage = shortage,
+            )
         val link = Link()
         private val dependencies =
             OwnerDependencies(
