Follow the operator's requests to evacuate data centres

Change: the feed that carries the manifest passes these rows to DataCentreEvacuations, which every instance keeps. After a lost history or a failed call the whole table is read and replaces the set. A page that fails is not asked for again at once, as before with the single row, so that a confirmation of the manifest counts from the same call as before. The set is confirmed as long as the last answered call is younger than bounds.evacuateMs less 1 s, the time that an order may be on its way. Where that is short, the feed answers more often than the manifest needs.

Result: no decision uses the set yet. EvacuationRowsTest covers added and removed rows, several changes in one answer, lost history, failed calls, odd rows, an unreadable manifest beside them and the age of the confirmation; ManifestSourceTest passes unchanged but for the new argument.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -24,6 +24,8 @@
  *   API key are refused.
  * @property statusRetentionMs time for which the state of an ended job stays readable.
  * @property maxRowBytes largest value of a row that the store accepts.
+ * @property evacuateMs longest time from the operator's request to evacuate a data centre to the last start there, or null
+ *   where the deployment states none.
  * @property shortage figures of the deployment for decisions by cost when there is too little room, or null where these
  *   decisions are not in force.
  */
@@ -43,6 +45,7 @@
     val maxManifestAgeMs: Long = 2_900,
     val statusRetentionMs: Long = 120_000,
     val maxRowBytes: Int = 65_536,
+    val evacuateMs: Long? = null,
     val shortage: ShortageSettings? = null,
 ) {
     /** Longest time in ms that a lease of a run lasts by the local clock. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -24,7 +24,8 @@
 
 /**
  * Dependencies of an owner. [directory] creates a view of the worker directory for one term; [manifest] returns the
- * latest applied manifest, or null before the first; [advice] is null without an advice service.
+ * latest applied manifest, or null before the first; [evacuations] are the requests that this instance follows; [advice] is
+ * null without an advice service.
  */
 public class OwnerDependencies(
     public val store: RowStore,
@@ -34,6 +35,7 @@
     public val clock: Clock,
     public val settings: SchedulerSettings,
     public val log: DecisionLog,
+    public val evacuations: DataCentreEvacuations,
     public val advice: AdviceService? = null,
 ) {
     /** Returns the policy under which [job] is run now. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/RowStore.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/store/RowStore.kt
@@ -138,10 +138,14 @@
 // read before it.
 private const val MAX_PAGE_ATTEMPTS = 4
 
-/** Reads all rows of a part, page by page. Returns the version of the first page, so that a feed misses no change. */
+/**
+ * Reads all rows of a part, page by page. Returns the version of the first page, so that a feed misses no change. Gives up
+ * after [maxPageAttempts] failures in a row.
+ */
 public suspend fun RowStore.scanAll(
     table: String,
     part: String,
+    maxPageAttempts: Int = MAX_PAGE_ATTEMPTS,
 ): ScanResult {
     val rows = ArrayList<StoredRow>()
     var version = -1L
@@ -149,7 +153,7 @@
     var failures = 0
     while (true) {
         when (val page = scan(table, part, from, limit = PAGE_ROWS)) {
-            is ScanResult.Unavailable -> if (++failures == MAX_PAGE_ATTEMPTS) return page
+            is ScanResult.Unavailable -> if (++failures == maxPageAttempts) return page
             is ScanResult.Rows -> {
                 failures = 0
                 rows += page.rows
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -22,6 +22,8 @@
 import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.model.Workspace
+import org.orioleferry.scheduler.now
+import org.orioleferry.scheduler.owner.DataCentreEvacuations
 import org.orioleferry.scheduler.owner.Election
 import org.orioleferry.scheduler.owner.OwnerDependencies
 import org.orioleferry.scheduler.owner.runOwnerTerm
@@ -80,6 +82,9 @@
     private val log = DecisionLog { event, _, _ -> events += event }
     val deregisteredWorkers = HashSet<String>()
 
+    /** Data centres whose evacuation the operator requests; the instances that see the table follow it. */
+    val evacuated = LinkedHashSet<String>()
+
     /** Replaces each worker that a run crashes by one of [spares], which has another id and the same address. */
     fun replaceCrashedWorkers(spares: List<String>) {
         val left = ArrayDeque(spares)
@@ -123,10 +128,16 @@
     inner class Instance(
         val name: String,
         candidateDelayMs: Long = 0,
+        evacuateMs: Long? = null,
     ) {
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
-        private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs)
+        private val settings =
+            SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs, evacuateMs = evacuateMs)
+        private val evacuations = DataCentreEvacuations(clock, settings, log)
+
+        /** Whether this instance reads the operator's table. */
+        var seesEvacuations = true
         val link = Link()
         private val dependencies =
             OwnerDependencies(
@@ -137,6 +148,7 @@
                 clock,
                 settings,
                 log,
+                evacuations,
             ) { step, asked, _ ->
                 advice(step, asked)
             }
@@ -150,7 +162,21 @@
         /** Starts taking part in the election. A running incarnation of the instance is stopped first. */
         fun start() {
             work?.cancel()
-            work = background.launch(process) { election.run() }
+            work =
+                background.launch(process) {
+                    launch { followEvacuations() }
+                    election.run()
+                }
+        }
+
+        private suspend fun followEvacuations() {
+            while (true) {
+                if (seesEvacuations && !store.isUnavailable) {
+                    evacuations.replaceAll(evacuated)
+                    evacuations.recordConfirmation(clock.now())
+                }
+                delay(EVACUATION_READ_MS)
+            }
         }
 
         fun kill() {
@@ -303,6 +329,7 @@
         val WORKER_CAPACITY = Resources(32_000, 128_000, 8)
         val ONE_ACCELERATOR = Resources(1_000, 1_000, 1)
         const val LOST_CALL_DELAY_MS = 700L
+        const val EVACUATION_READ_MS = 50L
         val NO_LOG = DecisionLog { _, _, _ -> }
     }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -46,6 +46,8 @@
         var beganMs: Long,
     )
 
+    /** Data centre in which the directory lists the worker. */
+    var dataCentre = "dc"
     private val runs = LinkedHashMap<RunId, ActiveRun>()
     private val ends = ArrayList<RunEndRecord>()
     private val closedAttempts = HashMap<TaskId, Int>()
@@ -161,7 +163,7 @@
             id,
             id,
             "pool",
-            "dc",
+            dataCentre,
             rack,
             setOf(if (isListedAsBefore) kindBefore else kind, rack),
             capacity,
