Start nothing in evacuated data centres

Change: the owner offers no worker of such a data centre to the planner, the advice service or a reservation, and computes the urgent reserve and the minimum shares from what is left. RunOrders asks right before each order and each repetition. A start that was not sent is taken back without a stop, with all unsent members of its gang; what was sent of the gang is stopped. While the requests were never read, or are older than evacuateMs less 1 s, the owner places nothing and sends no order. SERVICE_USAGE says how many accelerators are evacuated, RUN_START_DIVERTED counts the starts that were taken back.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/DecisionLog.kt
@@ -58,6 +58,7 @@
     RUN_ENDED(8405),
     RUN_ADOPTED(8406),
     RUN_FOREIGN(8407),
+    RUN_START_DIVERTED(8408),
     WORKER_CLAIMED(8410),
     WORKER_LOST(8411),
     WORKER_REBORN(8412),
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
@@ -127,7 +127,7 @@
     ): Boolean =
         step.reserved.size == width &&
             nowMs - step.reservedAtMs < RESERVATION_MS &&
-            step.reserved.all { it.isOpen }
+            step.reserved.all { it.isOpen && !fleet.isEvacuated(it) }
 
     private fun usableOf(service: String): List<WorkerSession> =
         fleet.sessions.filter { it.listed.service == service && fleet.isUsable(it) }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -42,7 +42,10 @@
 
     /** Whether tasks may be started on [session]. */
     fun isUsable(session: WorkerSession): Boolean =
-        session.isOpen && dependencies.clock.monotonicMs() >= session.avoidUntilMs
+        session.isOpen && dependencies.clock.monotonicMs() >= session.avoidUntilMs && !isEvacuated(session)
+
+    /** Whether nothing may be started in the data centre of [session] at the operator's request. */
+    fun isEvacuated(session: WorkerSession): Boolean = dependencies.evacuations.isRequested(session.listed.dataCentre)
 
     /** Follows the directory until cancelled. */
     suspend fun follow(onChange: () -> Unit) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -28,7 +28,7 @@
     private val planner = Planner(PlannerSettings(stopDurationMs = dependencies.settings.maxStopMs))
     private val urgentReserve = UrgentReserve(dependencies.settings.maxStopMs)
     private val clock = dependencies.clock
-    private val usageLog = UsageLog(clock, dependencies.log)
+    private val usageLog = UsageLog(clock, dependencies.log, fleet::isEvacuated)
     private var hasWaiting = false
 
     /** Wall-clock time in ms at which the next scheduled occurrence is due. */
@@ -42,6 +42,11 @@
 
     fun runPass() {
         val manifest = dependencies.manifest() ?: return
+        if (!dependencies.evacuations.isConfirmed) {
+            // Looks again soon, since nothing signals the confirmation.
+            hasWaiting = true
+            return
+        }
         nextDueMs = Long.MAX_VALUE
         val ranks = Ranks(manifest, jobRegistry.activeJobs)
         val waiting =
@@ -77,7 +82,11 @@
     ): Plan<WaitingTasks, List<Run>>? {
         val workers = workerResources()
         val victims = victims(ranks)
-        val reserved = urgentReserve.reservedAccelerators(fleet.sessions, clock.monotonicMs())
+        val reserved =
+            urgentReserve.reservedAccelerators(
+                fleet.sessions,
+                clock.monotonicMs(),
+            ) { !fleet.isEvacuated(it) }
         val inUse = acceleratorsInUse(ranks)
         return try {
             planner.plan(workers, demands, victims, reserved, inUse)
@@ -138,9 +147,13 @@
             )
         }
 
-    /** Returns the accelerators that runs hold, without those of lasting tasks, which make no room for lower ranks. */
+    /**
+     * Returns the accelerators that runs hold, without those of lasting tasks, which make no room for lower ranks, and
+     * without those of evacuated data centres, whose workers do not count in the shares of the ranks either.
+     */
     private fun acceleratorsInUse(ranks: Ranks): Map<ServiceRank, Int> =
         fleet.sessions
+            .filterNot(fleet::isEvacuated)
             .flatMap { it.runs.values }
             .filter { !it.task.step.spec.isLasting }
             .groupingBy { ServiceRank(it.session.listed.service, ranks.of(it.task.step.job)) }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunOrders.kt
@@ -69,6 +69,11 @@
                 break
             }
             if (!isStartWanted(run)) break
+            val objection = dependencies.evacuations.reasonAgainstStart(run.session.listed.dataCentre)
+            if (objection != null) {
+                divert(run, objection)
+                break
+            }
             // The worker's capacity may have shrunk since the run was planned.
             if (run.session.free.isOverdrawn) {
                 result = StartResult.Refused(StartRefusal.NO_ROOM)
@@ -94,6 +99,42 @@
         }
     }
 
+    /**
+     * Takes back the start of [run], and those of its gang that were not sent either, so that their tasks wait again. Members
+     * whose orders were sent are stopped; a stop of the others would hold up the gang until the next listing.
+     */
+    private fun divert(
+        run: Run,
+        reason: String,
+    ) {
+        recordDiverted(run, reason)
+        if (run.task.step.spec.isGang) {
+            val members =
+                run.task.step.tasks
+                    .mapNotNull { it.run } - run
+            val (sent, unsent) = members.partition { it.isOrdered }
+            unsent.forEach {
+                recordDiverted(it, "the start of another member was diverted")
+                detach(it)
+            }
+            sent.forEach { stop(it, "the start of another member was diverted") }
+        }
+        if (!run.isOrdered) detach(run)
+        replan()
+    }
+
+    private fun recordDiverted(
+        run: Run,
+        reason: String,
+    ) = log.record(
+        SchedulerEvent.RUN_START_DIVERTED,
+        run.id.toLogName(),
+        "worker" to run.session.id,
+        "dataCentre" to run.session.listed.dataCentre,
+        "reason" to reason,
+        "sent" to run.isOrdered,
+    )
+
     // Under a task with crashes on record, a start without an answer counts as one more. A start may reach a later incarnation
     // of its worker: a lasting task would wait for the longest lease then, and one with a label may run on another kind.
     private fun needsAnswer(run: Run): Boolean {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UrgentReserve.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UrgentReserve.kt
@@ -16,10 +16,14 @@
 
     private val peaksByService = HashMap<String, Peak>()
 
-    /** Returns the number of accelerators to keep free, by service. */
+    /**
+     * Returns the number of accelerators to keep free, by service. Urgent runs count on all [sessions], the share of the
+     * service is one of the workers that are offered to the planner at all ([isOffered]).
+     */
     fun reservedAccelerators(
         sessions: List<WorkerSession>,
         nowMs: Long,
+        isOffered: (WorkerSession) -> Boolean = { true },
     ): Map<String, Int> =
         sessions.groupBy { it.listed.service }.mapValues { (service, workers) ->
             val usedAccelerators =
@@ -28,7 +32,7 @@
                         .filter { it.isUrgent }
                         .sumOf { it.task.step.spec.need.accelerators }
                 }
-            val totalAccelerators = workers.sumOf { it.listed.capacity.accelerators }
+            val totalAccelerators = workers.filter(isOffered).sumOf { it.listed.capacity.accelerators }
             val peak = peaksByService.getOrPut(service) { Peak(0.0, nowMs) }
             val decayedPeak = peak.accelerators * exp(-(nowMs - peak.atMs) / PEAK_DECAY_MS)
             peak.accelerators = maxOf(decayedPeak, usedAccelerators.toDouble())
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UsageLog.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/UsageLog.kt
@@ -14,6 +14,7 @@
 internal class UsageLog(
     private val clock: Clock,
     private val log: DecisionLog,
+    private val isEvacuated: (WorkerSession) -> Boolean,
 ) {
     private var loggedAtMs = Long.MIN_VALUE / 2
 
@@ -35,12 +36,14 @@
         plan: Plan<WaitingTasks, List<Run>>,
     ) {
         val withheld = plan.withheld[service]
+        val (evacuated, others) = workers.partition(isEvacuated)
         log.record(
             SchedulerEvent.SERVICE_USAGE,
             service,
             "accelerators" to workers.sumOf { it.listed.capacity.accelerators },
-            "open" to workers.filter { it.isOpen }.sumOf { it.listed.capacity.accelerators },
-            "free" to workers.filter { it.isOpen }.sumOf { maxOf(0, it.free.accelerators) },
+            "evacuated" to evacuated.sumOf { it.listed.capacity.accelerators },
+            "open" to others.filter { it.isOpen }.sumOf { it.listed.capacity.accelerators },
+            "free" to others.filter { it.isOpen }.sumOf { maxOf(0, it.free.accelerators) },
             "keptForUrgent" to (withheld?.forUrgent ?: 0),
             "keptForWaiting" to (withheld?.forWaiting ?: 0),
         )
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -79,7 +79,35 @@
 
     /** Events that the instances have logged. */
     val events = ArrayList<SchedulerEvent>()
-    private val log = DecisionLog { event, _, _ -> events += event }
+    private val log = DecisionLog { event, _, inputs -> record(event, inputs.toMap()) }
+
+    /** A logged event with its inputs and the virtual time in ms. */
+    data class LoggedEvent(
+        val event: SchedulerEvent,
+        val inputs: Map<String, Any?>,
+        val atMs: Long,
+    )
+
+    /** Like [events], with inputs and times. */
+    val loggedEvents = ArrayList<LoggedEvent>()
+
+    /** An order to start [run] that an instance has sent to [worker]. */
+    data class SentStart(
+        val run: RunId,
+        val worker: String,
+        val atMs: Long,
+    )
+
+    val sentStarts = ArrayList<SentStart>()
+
+    private fun record(
+        event: SchedulerEvent,
+        inputs: Map<String, Any?>,
+    ) {
+        events += event
+        loggedEvents += LoggedEvent(event, inputs, clock.monotonicMs())
+    }
+
     val deregisteredWorkers = HashSet<String>()
 
     /** Data centres whose evacuation the operator requests; the instances that see the table follow it. */
@@ -171,14 +199,18 @@
 
         private suspend fun followEvacuations() {
             while (true) {
-                if (seesEvacuations && !store.isUnavailable) {
-                    evacuations.replaceAll(evacuated)
-                    evacuations.recordConfirmation(clock.now())
-                }
+                readEvacuations()
                 delay(EVACUATION_READ_MS)
             }
         }
 
+        /** Reads the operator's table now, as this instance does all the time. */
+        fun readEvacuations() {
+            if (!seesEvacuations || store.isUnavailable) return
+            evacuations.replaceAll(evacuated)
+            evacuations.recordConfirmation(clock.now())
+        }
+
         fun kill() {
             work?.cancel()
         }
@@ -239,6 +271,7 @@
             worker: ListedWorker,
             order: StartOrder,
         ): StartResult {
+            sentStarts += SentStart(order.run, worker.id, clock.monotonicMs())
             onStart(order)
             val target = reach(worker) ?: return StartResult.Unknown("cut off")
             if (target.isDown) return StartResult.Unknown("refused")
