Log when an evacuation is in force and when its last run has ended

Cause: an operator cannot tell when a data centre may be switched off, nor why an owner places nothing.

Change: the owner logs EVACUATION_IN_FORCE with the runs that are left once no order is on its way there, EVACUATION_FINISHED when every listed worker has listed that nothing is left, and EVACUATION_UNKNOWN for a name without workers. EVACUATIONS_UNCONFIRMED and EVACUATIONS_CONFIRMED bracket the time in which it places nothing because the requests are too old.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -27,6 +27,7 @@
     /** Like [earlierLeasesExpiredAtMs], for orders of earlier owners that a later incarnation of the worker carried out. */
     private val earlierOrdersExpiredAtMs: Long = maxOf(earlierLeasesExpiredAtMs, expiryOfEarlierOrders())
     private val directory = dependencies.directory()
+    private val evacuationLog = DataCentreEvacuationLog(dependencies)
     private var isExpiryReported = false
     private var isOrderExpiryReported = false
 
@@ -60,6 +61,7 @@
             }
             reportEarlierLeasesExpired()
             if (ownership.canDecide) entriesById.values.forEach { evacuation.check(it.session) }
+            if (ownership.canDecide && hasListing) evacuationLog.check(sessions)
             delay(minOf(REFRESH_MS, untilNextExpiryMs()))
         }
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -205,6 +205,9 @@
     private fun isIdle(): Boolean =
         isSettled && hasNoRuns() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
 
+    /** Whether the worker has listed what is on it and nothing is left, whoever started it. */
+    val isKnownEmpty: Boolean get() = isSettled && hasNoRuns()
+
     private fun hasNoRuns(): Boolean = runs.isEmpty() && foreignNeed == Resources()
 
     /**
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/EvacuatedDataCentreTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/EvacuatedDataCentreTest.kt
@@ -400,6 +400,101 @@
             expectThat(cluster.stateOf(owner, "bad")).isEqualTo(JobState.COMPLETED)
         }
 
+    private fun SimulatedCluster.logged(vararg wanted: SchedulerEvent) = loggedEvents.filter { it.event in wanted }
+
+    // Guards against an operator who cannot tell when the data centre can be switched off.
+    @Test
+    fun `should log when the evacuation is in force and when its last run has ended`() =
+        runTest {
+            val cluster = clusterOf(4, setOf("w0", "w1")) { _, _ -> Outcome(4_000) }
+            val owner = cluster.Instance("one").also { it.start() }
+            delay(500)
+            cluster.submit(owner, "a", "routine", StepSpec(4, one, 4_000))
+            delay(500)
+            cluster.evacuated += listOf("west", "nowhere")
+            delay(1_000)
+            val inForce = cluster.logged(SchedulerEvent.EVACUATION_IN_FORCE).single()
+            expectThat(inForce.inputs["workers"]).isEqualTo(2)
+            expectThat(inForce.inputs["runs"]).isEqualTo(4)
+            expectThat(cluster.logged(SchedulerEvent.EVACUATION_FINISHED)).isEmpty()
+            delay(4_000)
+            val finished = cluster.logged(SchedulerEvent.EVACUATION_FINISHED).single()
+            expectThat(finished.inputs["tookMs"] as Long).isGreaterThan(3_400).isLessThan(4_000)
+            delay(2_000)
+            cluster.evacuated.clear()
+            delay(500)
+            cluster.evacuated += "west"
+            delay(500)
+            val events = cluster.loggedEvents.map { it.event }.filter { it.name.startsWith("EVACUATION") }
+            expectThat(events.groupingBy { it }.eachCount()).isEqualTo(
+                mapOf(
+                    SchedulerEvent.EVACUATION_REQUESTED to 3,
+                    SchedulerEvent.EVACUATION_IN_FORCE to 2,
+                    SchedulerEvent.EVACUATION_UNKNOWN to 1,
+                    SchedulerEvent.EVACUATION_FINISHED to 2,
+                    SchedulerEvent.EVACUATION_WITHDRAWN to 2,
+                ),
+            )
+        }
+
+    /** The owner dies during an evacuation with four runs left; the next one gets answers of workers after [answerMs]. */
+    private suspend fun TestScope.takeOverDuringEvacuation(answerMs: Long): SimulatedCluster {
+        val cluster = clusterOf(4, setOf("w0", "w1")) { _, _ -> Outcome(12_000) }
+        val first = cluster.Instance("one").also { it.start() }
+        delay(500)
+        val second = cluster.Instance("two", candidateDelayMs = 100).also { it.start() }
+        cluster.submit(first, "a", "routine", StepSpec(4, one, 12_000))
+        delay(500)
+        cluster.evacuated += "west"
+        delay(1_000)
+        second.link.renewalAnswerMs = answerMs
+        first.kill()
+        delay(7_000)
+        expectThat(second.isOwner).isEqualTo(true)
+        expectThat(cluster.logged(SchedulerEvent.EVACUATION_FINISHED)).isEmpty()
+        second.link.renewalAnswerMs = 0
+        delay(8_000)
+        expectThat(cluster.logged(SchedulerEvent.EVACUATION_FINISHED)).hasSize(1)
+        return cluster
+    }
+
+    // Guards against a number of runs that are left which leaves out those that the new owner does not know yet.
+    @Test
+    fun `should log an evacuation as in force once the new owner knows what is on the workers`() =
+        runTest {
+            val cluster = takeOverDuringEvacuation(answerMs = 1_500)
+            val inForce = cluster.logged(SchedulerEvent.EVACUATION_IN_FORCE)
+            expectThat(inForce.map { it.inputs["runs"] }).isEqualTo(listOf(4, 4))
+        }
+
+    // Guards against a data centre that counts as empty because the new owner does not know yet what runs there.
+    @Test
+    fun `should not log an evacuation as finished while workers have not listed what is on them`() =
+        runTest {
+            val cluster = takeOverDuringEvacuation(answerMs = 3_000)
+            val inForce = cluster.logged(SchedulerEvent.EVACUATION_IN_FORCE)
+            expectThat(inForce.map { it.inputs["unsettled"] }).isEqualTo(listOf(0, 2))
+        }
+
+    // Guards against an owner that stands still without a line that says why.
+    @Test
+    fun `should log that the requests are not confirmed and that they are again`() =
+        runTest {
+            val cluster = clusterOf(2, emptySet()) { _, _ -> Outcome(500) }
+            val owner = cluster.Instance("one", evacuateMs = 5_000).also { it.start() }
+            delay(1_000)
+            owner.seesEvacuations = false
+            delay(7_000)
+            expectThat(
+                cluster.logged(SchedulerEvent.EVACUATIONS_UNCONFIRMED).single().inputs["limitMs"],
+            ).isEqualTo(4_000L)
+            owner.seesEvacuations = true
+            delay(1_000)
+            expectThat(cluster.logged(SchedulerEvent.EVACUATIONS_CONFIRMED)).hasSize(1)
+            delay(5_000)
+            expectThat(cluster.logged(SchedulerEvent.EVACUATIONS_UNCONFIRMED)).hasSize(1)
+        }
+
     // Guards against a minimum share of a priority that is used up by its runs in the evacuated data centre, whose
     // accelerators do not count in it.
     @Test
