Use cold workers last for urgent work

Cause: a worker is slow for a while after its start or an evacuation, which its directory entry states (coldLeftMs) and no code reads; after an evacuation all workers of the data centre are free and cold, and urgent work has little slack.

Change: ListedWorker.coldUntilMs is the time on the worker's clock, so the age of the entry does not matter. Urgent work takes other workers first, and among the racks for a gang those with enough warm workers; its reserve takes warm workers first. Nothing else looks at it, and cold workers are used before others' runs are stopped.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -144,6 +144,7 @@
                 unprovenRunCount = unproven.size,
                 isInTrial = unproven.any { it.isTrial },
                 isNew = session.ageMs() < STABLE_WORKER_MS,
+                isCold = session.isCold,
             )
         }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -105,6 +105,9 @@
         return bornAtMs?.let { untilMs - it } ?: Long.MAX_VALUE
     }
 
+    /** Whether the worker is slow for a while after its start or an evacuation. */
+    val isCold: Boolean get() = isClaimed && listed.coldUntilMs?.let { it > workerClock.nowMs() } == true
+
     /** Returns the shortest time in ms until the worker leaves, or null if it is not known to leave. */
     fun leavesInMs(): Long? {
         val leavesAtMs = listed.leavesAtMs?.takeIf { listed.isDraining && isClaimed } ?: return null
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -81,7 +81,7 @@
 
     /**
      * Withholds workers with [accelerators] free accelerators in total from all later demands of the pass. Takes whole
-     * racks first, starting with the rack that has the most free accelerators.
+     * racks first, starting with the rack that has the most free accelerators, and cold workers last of all.
      */
     fun withhold(
         service: String,
@@ -98,7 +98,8 @@
         for (worker in racks
             .sortedByDescending { rack ->
                 rack.sumOf { it.free.accelerators }
-            }.flatMap { it.sortedWith(order) }) {
+            }.flatMap { it.sortedWith(order) }
+            .sortedBy { it.isCold }) {
             if (left <= 0) return
             if (worker.free.accelerators <= 0) continue
             left -= worker.free.accelerators
@@ -168,13 +169,27 @@
         val within = if (canRunRemote) workers else nearData
         val racks = within.groupBy { it.rack }.values.map { rack -> rack to rack.sumOf { freeSlots(demand, it) } }
         val fitting = racks.filter { it.second >= demand.width }
-        val best = fitting.minWithOrNull(compareBy({ it.first.first().rack != demand.dataRack }, { it.second }))
+        val best =
+            fitting.minWithOrNull(
+                compareBy(
+                    { it.first.first().rack != demand.dataRack },
+                    { needsColdWorker(demand, it.first) },
+                    { it.second },
+                ),
+            )
         if (best != null) return packTasks(demand, best.first)
         if (!canRunRemote) return emptyList()
         val spread = packTasks(demand, workers)
         return if (spread.size == demand.width || !demand.isGang) spread else emptyList()
     }
 
+    /** Whether urgent [demand] would use cold workers of the rack [workers]. */
+    private fun <K> needsColdWorker(
+        demand: Demand<K>,
+        workers: List<WorkerResources>,
+    ): Boolean =
+        Rank.isUrgent(demand.rank) && workers.sumOf { if (it.isCold) 0 else freeSlots(demand, it) } < demand.width
+
     private fun <K> placeIndividually(
         demand: Demand<K>,
         nearData: List<WorkerResources>,
@@ -199,6 +214,7 @@
             compareBy<WorkerResources>(
                 { it.consecutiveFailures },
                 { it.isTroubled },
+                { Rank.isUrgent(demand.rank) && it.isCold },
                 { demand.trial != TrialPlacement.NONE && it.isNew },
                 { if (demand.trial == TrialPlacement.NONE) 0 else it.unprovenRunCount },
                 { if (demand.trial == TrialPlacement.NONE) 0 else it.runCount },
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -16,6 +16,7 @@
  *   cause of a crash.
  * @property isInTrial whether a suspect is on trial on this worker, so that nothing else starts there.
  * @property isNew whether the worker began a short time ago and may be unstable.
+ * @property isCold whether the worker is slow for a while after its start; urgent work uses it last.
  */
 internal class WorkerResources(
     val id: String,
@@ -33,6 +34,7 @@
     var unprovenRunCount: Int = 0,
     var isInTrial: Boolean = false,
     val isNew: Boolean = false,
+    val isCold: Boolean = false,
 )
 
 /** Ranks by which a pass orders demands and selects preemption victims; lower ranks go first. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/workers/WorkerLink.kt
@@ -23,6 +23,8 @@
  *   is a new incarnation.
  * @property isDraining whether the worker is leaving and takes no new work.
  * @property leavesAtMs earliest time at which a draining worker leaves, on its own clock in ms, or null if not known.
+ * @property coldUntilMs time until which the worker is slow after its start or an evacuation, on its own clock in ms, or
+ *   null if it is not.
  */
 public data class ListedWorker(
     val id: String,
@@ -35,6 +37,7 @@
     val incarnationMs: Long,
     val isDraining: Boolean,
     val leavesAtMs: Long? = null,
+    val coldUntilMs: Long? = null,
 )
 
 /**
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/EvacuatedDataCentreTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/EvacuatedDataCentreTest.kt
@@ -495,6 +495,24 @@
             expectThat(cluster.logged(SchedulerEvent.EVACUATIONS_UNCONFIRMED)).hasSize(1)
         }
 
+    // Guards against urgent work that is slow on a worker which was just released, beside free warm ones, and against a
+    // worker that counts as cold for good by an entry that does not change.
+    @Test
+    fun `should use cold workers last for urgent work until they are warm`() =
+        runTest {
+            val cluster = clusterOf(2, emptySet()) { _, _ -> Outcome(500) }
+            val owner = cluster.Instance("one").also { it.start() }
+            cluster.workers.getValue("w0").coldUntilMs = 5_000
+            delay(1_000)
+            cluster.submit(owner, "early", "urgent", StepSpec(2, one, 500))
+            delay(1_500)
+            expectThat(cluster.records.runsOf("early")).all { get { worker }.isEqualTo("w1") }
+            delay(3_000)
+            cluster.submit(owner, "late", "urgent", StepSpec(2, one, 500))
+            delay(1_500)
+            expectThat(cluster.records.runsOf("late")).hasSize(2).all { get { worker }.isEqualTo("w0") }
+        }
+
     // Guards against a minimum share of a priority that is used up by its runs in the evacuated data centre, whose
     // accelerators do not count in it.
     @Test
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -16,6 +16,7 @@
         free: Int = 8,
         rack: String = "r0",
         isTroubled: Boolean = false,
+        isCold: Boolean = false,
     ) = WorkerResources(
         id,
         "pool",
@@ -24,6 +25,7 @@
         accelerators(8),
         accelerators(free),
         isTroubled = isTroubled,
+        isCold = isCold,
     )
 
     private fun accelerators(count: Int) = Resources(count * 4_000, count * 16_000, count)
@@ -72,6 +74,42 @@
         expectThat(wide.placed.single().workers).hasSize(10)
     }
 
+    // Guards against urgent work on workers that are still slow after their start although others are free, and against
+    // urgent work that waits beside cold workers.
+    @Test
+    fun `should use cold workers last for urgent work`() {
+        val workers = { listOf(worker("w0", free = 2, isCold = true), worker("w1")) }
+        val urgent = plan(workers(), listOf(demand("a", width = 2, each = 1, priority = 0)))
+        expectThat(urgent.placed.single().workers).isEqualTo(listOf("w1", "w1"))
+        val wide = plan(workers(), listOf(demand("a", width = 10, each = 1, priority = 0)))
+        expectThat(wide.placed.single().workers).hasSize(10)
+        val routine = plan(workers(), listOf(demand("a", width = 2, each = 1)))
+        expectThat(routine.placed.single().workers).isEqualTo(listOf("w0", "w0"))
+    }
+
+    // The same for a gang in one rack: the rack with the fewest free slots came first.
+    @Test
+    fun `should prefer a rack with enough warm workers for an urgent gang`() {
+        val workers = {
+            listOf(
+                worker("w0", free = 2, isCold = true),
+                worker("w1", rack = "r1"),
+                worker("w2", rack = "r1", isCold = true),
+            )
+        }
+        val gang = demand("a", width = 2, each = 1, priority = 0, isGang = true, sameRack = true)
+        expectThat(plan(workers(), listOf(gang)).placed.single().workers).isEqualTo(listOf("w1", "w1"))
+        expectThat(plan(workers(), listOf(gang.copy(rank = 2))).placed.single().workers).isEqualTo(listOf("w0", "w0"))
+    }
+
+    // Guards against a reserve of cold workers, which leaves only these to the urgent work it is kept for.
+    @Test
+    fun `should keep warm workers free for urgent work before cold ones`() {
+        val workers = listOf(worker("w0", isCold = true), worker("w1", rack = "r1"))
+        val plan = plan(workers, listOf(demand("a", width = 8, each = 1)), reserve = 4)
+        expectThat(plan.placed.single().workers).isEqualTo(List(8) { "w0" })
+    }
+
     // Guards against two tasks of a step on one worker that allows one: the search for victims left out the tasks that the
     // same pass had placed (AntiAffinity of the independent review).
     @Test
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -93,6 +93,9 @@
         }
     var isDraining = false
 
+    /** Time until which the worker is listed as cold, on its clock, or null. */
+    var coldUntilMs: Long? = null
+
     /** Announced time of leaving on the worker's clock, or null. */
     var leavesAtMs: Long? = null
 
@@ -170,6 +173,7 @@
             1_000L + if (isListedAsBefore) incarnation - 1 else incarnation,
             isDraining,
             leavesAtMs,
+            coldUntilMs,
         )
 
     /** Ends the worker for good. The directory shows it on, and its connections are silent. */
