--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/SchedulerSettings.kt
@@ -26,6 +26,8 @@
  * @property maxRowBytes largest value of a row that the store accepts.
  * @property callerAddress address at which this instance answers callers and other instances that pass calls on while the
  *   store does not serve them, as host:port; empty where instances do not pass calls on.
+ * @property evacuateMs longest time from the operator's request to evacuate a data centre to the last start there, or null
+ *   where the deployment states none.
  * @property shortage figures of the deployment for decisions by cost when there is too little room, or null where these
  *   decisions are not in force.
  */
@@ -46,6 +48,7 @@
     val statusRetentionMs: Long = 120_000,
     val maxRowBytes: Int = 65_536,
     val callerAddress: String = "",
+    val evacuateMs: Long? = null,
     val shortage: ShortageSettings? = null,
 ) {
     /** Longest time in ms that a lease of a run lasts by the local clock. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -27,6 +27,7 @@
     /** Like [earlierLeasesExpiredAtMs], for orders of earlier owners that a later incarnation of the worker carried out. */
     private val earlierOrdersExpiredAtMs: Long = maxOf(earlierLeasesExpiredAtMs, expiryOfEarlierOrders())
     private val directory = dependencies.directory()
+    private val evacuationLog = DataCentreEvacuationLog(dependencies)
     private var isExpiryReported = false
     private var isOrderExpiryReported = false
 
@@ -42,7 +43,10 @@
 
     /** Whether tasks may be started on [session]. */
     fun isUsable(session: WorkerSession): Boolean =
-        session.isOpen && dependencies.clock.monotonicMs() >= session.avoidUntilMs
+        session.isOpen && dependencies.clock.monotonicMs() >= session.avoidUntilMs && !isEvacuated(session)
+
+    /** Whether nothing may be started in the data centre of [session] at the operator's request. */
+    fun isEvacuated(session: WorkerSession): Boolean = dependencies.evacuations.isRequested(session.listed.dataCentre)
 
     /** Follows the directory until cancelled. */
     suspend fun follow(onChange: () -> Unit) {
@@ -57,6 +61,7 @@
             }
             reportEarlierLeasesExpired()
             if (ownership.canDecide) entriesById.values.forEach { evacuation.check(it.session) }
+            if (ownership.canDecide && hasListing) evacuationLog.check(sessions)
             delay(minOf(REFRESH_MS, untilNextExpiryMs()))
         }
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ForecastUpdater.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ForecastUpdater.kt
@@ -52,7 +52,7 @@
     /** Counts unclaimed workers as well, since a new owner claims them one after another. */
     private fun workerGroups(): List<WorkerGroup> =
         fleet.sessions
-            .filter { it.isListed && !it.listed.isDraining }
+            .filter { it.isListed && !it.listed.isDraining && !fleet.isEvacuated(it) }
             .groupBy { Triple(it.listed.service, it.listed.capacity, it.listed.labels) }
             .map { (kind, workers) ->
                 val lasting = workers.flatMap { it.runs.values }.filter { it.task.step.spec.isLasting }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -105,6 +105,9 @@
         return bornAtMs?.let { untilMs - it } ?: Long.MAX_VALUE
     }
 
+    /** Whether the worker is slow for a while after its start or an evacuation. */
+    val isCold: Boolean get() = isClaimed && listed.coldUntilMs?.let { it > workerClock.nowMs() } == true
+
     /** Returns the shortest time in ms until the worker leaves, or null if it is not known to leave. */
     fun leavesInMs(): Long? {
         val leavesAtMs = listed.leavesAtMs?.takeIf { listed.isDraining && isClaimed } ?: return null
@@ -205,6 +208,9 @@
     private fun isIdle(): Boolean =
         isSettled && hasNoRuns() && !ends.isUnacknowledged(ends.lastStored(listener.storedSequence))
 
+    /** Whether the worker has listed what is on it and nothing is left, whoever started it. */
+    val isKnownEmpty: Boolean get() = isSettled && hasNoRuns()
+
     private fun hasNoRuns(): Boolean = runs.isEmpty() && foreignNeed == Resources()
 
     /**
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -23,6 +23,8 @@
 import org.orioleferry.scheduler.model.Resources
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.model.Workspace
+import org.orioleferry.scheduler.now
+import org.orioleferry.scheduler.owner.DataCentreEvacuations
 import org.orioleferry.scheduler.owner.Election
 import org.orioleferry.scheduler.owner.OwnerDependencies
 import org.orioleferry.scheduler.owner.runOwnerTerm
@@ -78,9 +80,40 @@
 
     /** Events that the instances have logged. */
     val events = ArrayList<SchedulerEvent>()
-    private val log = DecisionLog { event, _, _ -> events += event }
+    private val log = DecisionLog { event, _, inputs -> record(event, inputs.toMap()) }
+
+    /** A logged event with its inputs and the virtual time in ms. */
+    data class LoggedEvent(
+        val event: SchedulerEvent,
+        val inputs: Map<String, Any?>,
+        val atMs: Long,
+    )
+
+    /** Like [events], with inputs and times. */
+    val loggedEvents = ArrayList<LoggedEvent>()
+
+    /** An order to start [run] that an instance has sent to [worker]. */
+    data class SentStart(
+        val run: RunId,
+        val worker: String,
+        val atMs: Long,
+    )
+
+    val sentStarts = ArrayList<SentStart>()
+
+    private fun record(
+        event: SchedulerEvent,
+        inputs: Map<String, Any?>,
+    ) {
+        events += event
+        loggedEvents += LoggedEvent(event, inputs, clock.monotonicMs())
+    }
+
     val deregisteredWorkers = HashSet<String>()
 
+    /** Data centres whose evacuation the operator requests; the instances that see the table follow it. */
+    val evacuated = LinkedHashSet<String>()
+
     /** Replaces each worker that a run crashes by one of [spares], which has another id and the same address. */
     fun replaceCrashedWorkers(spares: List<String>) {
         val left = ArrayDeque(spares)
@@ -128,6 +161,7 @@
         val name: String,
         candidateDelayMs: Long = 0,
         callerAddress: String = "",
+        evacuateMs: Long? = null,
     ) {
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
@@ -137,8 +171,13 @@
                 "dc",
                 candidateDelayMs = candidateDelayMs,
                 callerAddress = callerAddress,
+                evacuateMs = evacuateMs,
                 shortage = shortage,
             )
+        private val evacuations = DataCentreEvacuations(clock, settings, log)
+
+        /** Whether this instance reads the operator's table. */
+        var seesEvacuations = true
         val link = Link()
         private val dependencies =
             OwnerDependencies(
@@ -149,6 +188,7 @@
                 clock,
                 settings,
                 log,
+                evacuations,
             ) { step, asked, _ ->
                 advice(step, asked)
             }
@@ -163,7 +203,25 @@
         /** Starts taking part in the election. A running incarnation of the instance is stopped first. */
         fun start() {
             work?.cancel()
-            work = background.launch(process) { election.run() }
+            work =
+                background.launch(process) {
+                    launch { followEvacuations() }
+                    election.run()
+                }
+        }
+
+        private suspend fun followEvacuations() {
+            while (true) {
+                readEvacuations()
+                delay(EVACUATION_READ_MS)
+            }
+        }
+
+        /** Reads the operator's table now, as this instance does all the time. */
+        fun readEvacuations() {
+            if (!seesEvacuations || store.isUnavailable) return
+            evacuations.replaceAll(evacuated)
+            evacuations.recordConfirmation(clock.now())
         }
 
         fun kill() {
@@ -226,6 +284,7 @@
             worker: ListedWorker,
             order: StartOrder,
         ): StartResult {
+            sentStarts += SentStart(order.run, worker.id, clock.monotonicMs())
             onStart(order)
             val target = reach(worker) ?: return StartResult.Unknown("cut off")
             if (target.isDown) return StartResult.Unknown("refused")
@@ -316,6 +375,7 @@
         val WORKER_CAPACITY = Resources(32_000, 128_000, 8)
         val ONE_ACCELERATOR = Resources(1_000, 1_000, 1)
         const val LOST_CALL_DELAY_MS = 700L
+        const val EVACUATION_READ_MS = 50L
         val NO_LOG = DecisionLog { _, _, _ -> }
     }
 }
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -46,6 +46,8 @@
         var beganMs: Long,
     )
 
+    /** Data centre in which the directory lists the worker. */
+    var dataCentre = "dc"
     private val runs = LinkedHashMap<RunId, ActiveRun>()
     private val ends = ArrayList<RunEndRecord>()
     private val closedAttempts = HashMap<TaskId, Int>()
@@ -91,6 +93,9 @@
         }
     var isDraining = false
 
+    /** Time until which the worker is listed as cold, on its clock, or null. */
+    var coldUntilMs: Long? = null
+
     /** Announced time of leaving on the worker's clock, or null. */
     var leavesAtMs: Long? = null
 
@@ -161,13 +166,14 @@
             id,
             id,
             "pool",
-            "dc",
+            dataCentre,
             rack,
             setOf(if (isListedAsBefore) kindBefore else kind, rack),
             capacity,
             1_000L + if (isListedAsBefore) incarnation - 1 else incarnation,
             isDraining,
             leavesAtMs,
+            coldUntilMs,
         )
 
     /** Ends the worker for good. The directory shows it on, and its connections are silent. */
