Learn how long runs take relative to their estimates

Cause: estimates are off by up to 90% in the batch class and 3% of the tasks take 7 times as long, and no code learns from it.

The owner records completed runs with `shortage` only; a gang counts once, from the start of its last member. The simulated cluster takes `shortage`.

Result: no decision changes yet.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
@@ -1,6 +1,7 @@
 package org.orioleferry.scheduler.owner
 
 import org.orioleferry.scheduler.SchedulerEvent
+import org.orioleferry.scheduler.placement.DurationModel
 import org.orioleferry.scheduler.placement.WorkerSpeedEstimator
 
 /** Derives worker speeds from the progress of runs, and restarts stalled tasks on other workers. */
@@ -14,6 +15,9 @@
     /** Speeds of the workers, derived from the runs of this term. */
     val speeds = WorkerSpeedEstimator()
 
+    /** Durations of the runs of this term, or null where decisions do not use them. */
+    val durations: DurationModel? = dependencies.settings.shortage?.let { DurationModel() }
+
     /** Evaluates the runs of [session] after the worker has listed them. */
     fun observe(session: WorkerSession) {
         session.runs.values.forEach(::recordProgress)
@@ -27,6 +31,16 @@
         val beganMs = run.confirmedAtMs ?: return
         if (!run.isSpeedSample) return
         speeds.recordCompletion(run.session.id, run.queue, run.estimateMs, clock.monotonicMs() - beganMs)
+        recordDuration(run)
+    }
+
+    /** Records the duration of a gang once, when its first member ends, from the start of its last member. */
+    private fun recordDuration(run: Run) {
+        val step = run.task.step
+        if (durations == null || run.task.isDone) return
+        val members = if (step.spec.isGang) step.tasks.mapNotNull { it.run } else listOf(run)
+        val beganMs = members.mapNotNull { it.confirmedAtMs }.maxOrNull() ?: return
+        durations.record(run.queue, step.spec.count, run.estimateMs, clock.monotonicMs() - beganMs)
     }
 
     private fun recordProgress(run: Run) {
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedCluster.kt
@@ -12,6 +12,7 @@
 import org.orioleferry.scheduler.DecisionLog
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.SchedulerSettings
+import org.orioleferry.scheduler.ShortageSettings
 import org.orioleferry.scheduler.callers.JobApi
 import org.orioleferry.scheduler.callers.LookupResult
 import org.orioleferry.scheduler.callers.SubmitResult
@@ -80,6 +81,9 @@
     private val log = DecisionLog { event, _, _ -> events += event }
     val deregisteredWorkers = HashSet<String>()
 
+    /** Settings of the instances that are created from now on for decisions by cost, or null. */
+    var shortage: ShortageSettings? = null
+
     /** Replaces each worker that a run crashes by one of [spares], which has another id and the same address. */
     fun replaceCrashedWorkers(spares: List<String>) {
         val left = ArrayDeque(spares)
@@ -126,7 +130,7 @@
     ) {
         private val health = StoreHealth(name, clock, NO_LOG)
         val store = SimulatedStore(rows, health)
-        private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs)
+        private val settings = SchedulerSettings(name, "dc", candidateDelayMs = candidateDelayMs, shortage = shortage)
         val link = Link()
         private val dependencies =
             OwnerDependencies(
