Predict the end of runs without usable progress by learnt durations

Cause: before a run has listed 15%, its estimate decides whether it can end before its worker leaves, and runs that urgent work may stop count as never ending. Estimates are off by a factor of two on some queues.

Change: with `shortage`, RunForecast multiplies the estimate by the ratio that nine of ten runs of the queue do not exceed. Listed progress that shows a longer duration prevails. Urgent work waits for a run only while it has not outlasted the median, since a reservation for a run that does not end holds it up for 2 s.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Evacuation.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Evacuation.kt
@@ -1,15 +1,13 @@
 package org.orioleferry.scheduler.owner
 
-import org.orioleferry.core.Clock
-
 /**
  * Stops the runs that cannot end before their worker leaves, shortly before it does. They save a checkpoint and start
  * elsewhere at once; those of a worker that is gone can only start again when its leases have expired.
  */
 internal class Evacuation(
-    private val clock: Clock,
     private val orders: RunOrders,
     maxStopMs: Long,
+    private val forecast: RunForecast,
 ) {
     /** Time before the leaving at which the runs are stopped: the stop, the period of [check] and the order's way. */
     private val leadMs = maxStopMs + LEAD_MARGIN_MS
@@ -20,7 +18,7 @@
         if (leftMs > leadMs) return
         session.runs.values
             .toList()
-            .filter { it.state != RunState.STOPPING && it.expectedRemainingMs(clock.monotonicMs()) > leftMs + GRACE_MS }
+            .filter { it.state != RunState.STOPPING && forecast.leavingRemainingMs(it) > leftMs + GRACE_MS }
             .forEach { run ->
                 orders.stop(run, REASON)
                 orders.stopGangOf(run, REASON)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -64,12 +64,23 @@
             val monitor = ProgressMonitor(dependencies, orders)
             val runs = RunControl(dependencies, ownership, jobRegistry, writer, orders, monitor, this, replan)
             orders.onGone = runs::onGone
-            val evacuation = Evacuation(clock, orders, dependencies.settings.maxStopMs)
+            val forecast = RunForecast(monitor.durations, clock)
+            val evacuation = Evacuation(orders, dependencies.settings.maxStopMs, forecast)
             val fleet = Fleet(dependencies, ownership, runs, this, evacuation)
             val tickets = TicketProvider(dependencies, this, replan)
             val demands = Demands(dependencies, jobRegistry, fleet, tickets, runs::stopIncompleteGang)
             val placement =
-                Placement(dependencies, ownership, jobRegistry, fleet, orders, monitor.speeds, tickets, demands)
+                Placement(
+                    dependencies,
+                    ownership,
+                    jobRegistry,
+                    fleet,
+                    orders,
+                    monitor.speeds,
+                    tickets,
+                    demands,
+                    forecast,
+                )
             writer.onStored = { fleet.wakeSessions() }
             writer.onRejected = runs::onRejected
             val jobsVersion = load() ?: return@coroutineScope
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -24,6 +24,7 @@
     private val speeds: WorkerSpeedEstimator,
     private val tickets: TicketProvider,
     private val demands: Demands,
+    private val forecast: RunForecast,
 ) {
     private val planner = Planner(PlannerSettings(stopDurationMs = dependencies.settings.maxStopMs))
     private val urgentReserve = UrgentReserve(dependencies.settings.maxStopMs)
@@ -160,7 +161,7 @@
                     step.countedNeed,
                     group.map { it.session.id },
                     group.sumOf { lostCoreMs(it) },
-                    group.maxOf { it.remainingMs(clock.monotonicMs()) },
+                    group.maxOf { forecast.victimRemainingMs(it) },
                     step.spec.isLasting,
                 )
             }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
@@ -59,6 +59,13 @@
     /** Whether the duration of the run measures its worker's speed: it was not resumed and runs near its data. */
     var isSpeedSample = false
 
+    /** Monotonic time at which the worker last listed the run. */
+    var listedAtMs: Long = startedAtMs
+        private set
+
+    /** Whether [percent] is fine enough to predict the end of the run. */
+    val hasUsableProgress: Boolean get() = percent >= MIN_PROGRESS_PERCENT
+
     /** Monotonic time at which [percent] was last seen to grow. */
     var progressedAtMs: Long = startedAtMs
 
@@ -108,6 +115,7 @@
         nowMs: Long,
     ) {
         if (beganMs == null) onBegun(nowMs)
+        listedAtMs = nowMs
         if (entry.percent > percent || sinceListedMs == null) {
             unchangedMs = 0
             suspectedAtMs = -1
