Order waiting steps by how long their queue's runs really take

Cause: whether a job can still end in time is judged by its estimates, which are off by a factor of two or more on some queues. A job that can end in time counts as late there, waits behind later jobs, and then ends late.

Change: with `shortage`, the remaining time of a step is its estimate times the median ratio for its queue and number of tasks; the later steps of the chain use the ratio of the whole queue. The share of 0.7 by which QueuePosition counts a job as late is as before.

Result: LearntOrderTest passes; the same load without `shortage` puts the job last.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
@@ -2,6 +2,7 @@
 
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.placement.Demand
+import org.orioleferry.scheduler.placement.DurationModel
 import org.orioleferry.scheduler.placement.QueuePosition
 import org.orioleferry.scheduler.placement.TrialPlacement
 import org.orioleferry.scheduler.placement.queuePositionOf
@@ -19,6 +20,7 @@
     private val jobRegistry: JobRegistry,
     private val fleet: Fleet,
     private val tickets: TicketProvider,
+    private val durations: DurationModel?,
     private val stopIncompleteGang: (StepRun) -> Unit,
 ) {
     private val clock = dependencies.clock
@@ -141,11 +143,24 @@
             nowMs = clock.wallMs(),
             dueMs = beginMs + objectiveMs,
             valueExpiryMs = beginMs + LATE_FACTOR * objectiveMs,
-            remainingMs = spec.chainFromMs(step.index),
+            remainingMs = remainingMsOf(step),
             waitingShare = waitingShareOf(job.steps(step.occurrence)),
         )
     }
 
+    /**
+     * Returns how long the chain that begins with [step] takes according to its estimates, corrected by how long runs of
+     * its queue have taken, in ms. The later steps of the chain differ in width, so the ratio of the whole queue applies.
+     */
+    private fun remainingMsOf(step: StepRun): Long {
+        val spec = step.job.accepted.spec
+        val chainMs = spec.chainFromMs(step.index)
+        if (durations == null) return chainMs
+        val laterMs = chainMs - step.spec.estimateMs
+        val ownRatio = durations.ratiosOf(spec.queue, step.spec.count).median
+        return (step.spec.estimateMs * ownRatio + laterMs * durations.ratiosOf(spec.queue).median).toLong()
+    }
+
     /** Returns the share of the work of [steps], all steps of one occurrence, that is neither done nor running. */
     private fun waitingShareOf(steps: List<StepRun>): Double {
         val waiting = steps.sumOf { step -> workOf(step) * step.tasks.count { !it.isDone && it.run == null } }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -68,7 +68,8 @@
             val evacuation = Evacuation(orders, dependencies.settings.maxStopMs, forecast)
             val fleet = Fleet(dependencies, ownership, runs, this, evacuation)
             val tickets = TicketProvider(dependencies, this, replan)
-            val demands = Demands(dependencies, jobRegistry, fleet, tickets, runs::stopIncompleteGang)
+            val demands =
+                Demands(dependencies, jobRegistry, fleet, tickets, monitor.durations, runs::stopIncompleteGang)
             val placement =
                 Placement(
                     dependencies,
