Restart urgent runs whose worker is several times slower than expected

Cause: urgent tasks last 2 to 8 s, and on a worker that is 5 to 7 times slower they miss their objective. They list progress, so they do not count as standing still, and the worker only counts as troubled after 1.2 s, for later starts.

Change: with `shortage`, SlowRuns stops an urgent run, or its gang, once per step, when it is several times slower than the other tasks of its step on other workers, or, without such, than the learnt durations and their spread. Both the last interval between two listings and the time before it have to be slow, on the worker's clock, so that a worker or an owner that stood still for a moment costs nothing. Starting again has to end sooner by a factor of two, and other workers need room, free or held by less urgent work. A run beside another one that proceeds as expected is a long task and stays. Runs that may be slow are listed again after 0.3 s.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Job.kt
@@ -63,6 +63,9 @@
     /** Restarts of the step's tasks because their progress stalled. */
     var stallRestarts = 0
 
+    /** Whether runs of the step were restarted because their worker was slow; this happens once, since the task may be long. */
+    var hasSlowRestart = false
+
     /** Workers reserved for this step while preempted runs stop, one entry for each task. */
     var reserved: List<WorkerSession> = emptyList()
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -85,6 +85,7 @@
             writer.onStored = { fleet.wakeSessions() }
             writer.onRejected = runs::onRejected
             val jobsVersion = load() ?: return@coroutineScope
+            monitor.slowRuns?.usableWorkers = { fleet.sessions.filter { fleet.isUsable(it) } }
             launch { writer.run() }
             launch { fleet.follow { planSignal.trySend(Unit) } }
             launch { QueueLengths(dependencies, ownership, jobRegistry).publish() }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
@@ -18,12 +18,16 @@
     /** Durations of the runs of this term, or null where decisions do not use them. */
     val durations: DurationModel? = dependencies.settings.shortage?.let { DurationModel() }
 
+    /** Restarts urgent runs on slow workers, or null where this is not in force. */
+    val slowRuns: SlowRuns? = durations?.let { SlowRuns(dependencies, orders, it, speeds) }
+
     /** Evaluates the runs of [session] after the worker has listed them. */
     fun observe(session: WorkerSession) {
         session.runs.values.forEach(::recordProgress)
         session.runs.values
             .filter { isStalled(it) }
             .forEach { onStalled(it) }
+        slowRuns?.check(session)
     }
 
     /** Records the duration of a run that is done. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.scheduler.owner
 
+import org.orioleferry.scheduler.placement.ProgressPace
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunId
 
@@ -75,6 +76,15 @@
     /** Value of [unchangedMs] at which the run was suspected to stand still, or -1; a later listing confirms it. */
     var suspectedAtMs = -1L
 
+    /** Speed at which the run proceeds, on the worker's clock. */
+    val pace = ProgressPace()
+
+    /** Whether the run may be several times slower than expected, which a listing soon after confirms or refutes. */
+    var seemsSlow = false
+
+    /** Whether the run was slow while another run on its worker was not. */
+    var isLongTask = false
+
     /** Monotonic time at which the checkpoint was last seen to change. */
     var checkpointedAtMs: Long = startedAtMs
 
@@ -132,6 +142,7 @@
             checkpoint = entry.checkpoint
             checkpointedAtMs = nowMs
         }
+        pace.add(sinceListedMs?.let { minOf(it, nowMs - (confirmedAtMs ?: nowMs)) }, entry.percent)
     }
 
     /** The run is known to work since the monotonic time [nowMs]. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -213,7 +213,7 @@
      */
     private fun maxWaitMs(nowMs: Long): Int =
         when {
-            runs.values.any { it.suspectedAtMs >= 0 } -> CONFIRMATION_WAIT_MS
+            runs.values.any { it.suspectedAtMs >= 0 || it.seemsSlow } -> CONFIRMATION_WAIT_MS
             // The leases are extended again soon after the next renewal of the ownership.
             !ownership.canDecide -> SHORT_WAIT_MS
             runs.values.any { it.isUrgent && nowMs - it.startedAtMs < EARLY_MS } -> SHORT_WAIT_MS
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/simulation/SimulatedWorker.kt
@@ -96,6 +96,9 @@
 
     /** Whether runs make no progress while the worker answers as usual. */
     var isStalled = false
+
+    /** Multiple of their time that runs take which start on the worker. */
+    var slowdown = 1L
     private var frozenAtMs = -1L
 
     /** Suspends the worker: it neither answers nor works, while its clock goes on. */
@@ -222,7 +225,7 @@
         ) {
             records.overCapacity(order.run, id, clock.monotonicMs())
         }
-        val outcome = outcomeOf(order.run.task, order.run.attempt)
+        val outcome = outcomeOf(order.run.task, order.run.attempt).let { it.copy(workMs = it.workMs * slowdown) }
         runs[order.run] = ActiveRun(order, outcome, clock.monotonicMs())
         records.started(order, id, clock.monotonicMs())
         gangs.arrived(order.run, this)
