--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
@@ -3,6 +3,7 @@
 import org.orioleferry.scheduler.SchedulerEvent
 import org.orioleferry.scheduler.model.Manifest
 import org.orioleferry.scheduler.placement.Demand
+import org.orioleferry.scheduler.placement.DurationModel
 import org.orioleferry.scheduler.placement.QueuePosition
 import org.orioleferry.scheduler.placement.QueueWork
 import org.orioleferry.scheduler.placement.Rank
@@ -26,6 +27,7 @@
     private val jobRegistry: JobRegistry,
     private val fleet: Fleet,
     private val tickets: TicketProvider,
+    private val durations: DurationModel?,
     private val stopIncompleteGang: (StepRun) -> Unit,
 ) {
     private val clock = dependencies.clock
@@ -185,7 +187,7 @@
             nowMs = now,
             dueMs = beginMs + objectiveMs,
             valueExpiryMs = beginMs + LATE_FACTOR * objectiveMs,
-            remainingMs = spec.chainFromMs(step.index),
+            remainingMs = remainingMsOf(step),
             sinceAcceptedMs = now - beginMs,
             workCoreMs = taskWork * waiting.tasks.size,
             meanWorkCoreMs = queueWork.meanOf(spec.queue),
@@ -205,6 +207,19 @@
             waitingShare = waitingShareOf(step.job.steps(step.occurrence)),
         )
 
+    /**
+     * Returns how long the chain that begins with [step] takes according to its estimates, corrected by how long runs of
+     * its queue have taken, in ms. The later steps of the chain differ in width, so the ratio of the whole queue applies.
+     */
+    private fun remainingMsOf(step: StepRun): Long {
+        val spec = step.job.accepted.spec
+        val chainMs = spec.chainFromMs(step.index)
+        if (durations == null) return chainMs
+        val laterMs = chainMs - step.spec.estimateMs
+        val ownRatio = durations.ratiosOf(spec.queue, step.spec.count).median
+        return (step.spec.estimateMs * ownRatio + laterMs * durations.ratiosOf(spec.queue).median).toLong()
+    }
+
     /** Returns the share of the work of [steps], all steps of one occurrence, that is neither done nor running. */
     private fun waitingShareOf(steps: List<StepRun>): Double {
         val waiting = steps.sumOf { step -> workOf(step) * step.tasks.count { !it.isDone && it.run == null } }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Run.kt
@@ -1,5 +1,6 @@
 package org.orioleferry.scheduler.owner
 
+import org.orioleferry.scheduler.placement.ProgressPace
 import org.orioleferry.scheduler.workers.PresentRun
 import org.orioleferry.scheduler.workers.RunId
 
@@ -59,6 +60,13 @@
     /** Whether the duration of the run measures its worker's speed: it was not resumed and runs near its data. */
     var isSpeedSample = false
 
+    /** Monotonic time at which the worker last listed the run. */
+    var listedAtMs: Long = startedAtMs
+        private set
+
+    /** Whether [percent] is fine enough to predict the end of the run. */
+    val hasUsableProgress: Boolean get() = percent >= MIN_PROGRESS_PERCENT
+
     /** Monotonic time at which [percent] was last seen to grow. */
     var progressedAtMs: Long = startedAtMs
 
@@ -68,6 +76,15 @@
     /** Value of [unchangedMs] at which the run was suspected to stand still, or -1; a later listing confirms it. */
     var suspectedAtMs = -1L
 
+    /** Speed at which the run proceeds, on the worker's clock. */
+    val pace = ProgressPace()
+
+    /** Whether the run may be several times slower than expected, which a listing soon after confirms or refutes. */
+    var seemsSlow = false
+
+    /** Whether the run was slow while another run on its worker was not. */
+    var isLongTask = false
+
     /** Monotonic time at which the checkpoint was last seen to change. */
     var checkpointedAtMs: Long = startedAtMs
 
@@ -108,6 +125,7 @@
         nowMs: Long,
     ) {
         if (beganMs == null) onBegun(nowMs)
+        listedAtMs = nowMs
         if (entry.percent > percent || sinceListedMs == null) {
             unchangedMs = 0
             suspectedAtMs = -1
@@ -124,6 +142,7 @@
             checkpoint = entry.checkpoint
             checkpointedAtMs = nowMs
         }
+        pace.add(sinceListedMs?.let { minOf(it, nowMs - (confirmedAtMs ?: nowMs)) }, entry.percent)
     }
 
     /** The run is known to work since the monotonic time [nowMs]. */
