Mend what the reviews of the merged parts found

Two reviewers who had not written the parts read them. Each finding with its fix:

- An urgent step that may not stop others waited as long as others took each freed worker: workers are withheld for it.
- Searches for victims went to the same steps in each pass: a step as hard as one that was too dear is not searched for again, and guaranteed work that has to start is searched for first and waits for no predicted end.
Only the first step of a job has to start in the reclaim time.
- A read of the job table that began before a removal could bring the job back without its progress: removals by this owner and reads that a later loss of the history supersedes count against it.
- The forecast names no wait while the tasks that can run leave capacity free, leaves out work that can only end late and tasks on workers that take no new work; runs that are being stopped teach no durations; small evacuation bounds confirm often enough.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/DataCentreEvacuations.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/DataCentreEvacuations.kt
@@ -33,7 +33,16 @@
      * Longest time in ms after which the set is to be confirmed again, or null where its age does not matter. A
      * confirmation counts from the sending of its call, so it is up to two periods old when the next one arrives.
      */
-    public val confirmationPeriodMs: Long? = maxAgeMs?.let { maxOf((it - LATENCY_RISE_MS) / 2, MIN_PERIOD_MS) }
+    public val confirmationPeriodMs: Long? =
+        maxAgeMs?.let {
+            maxOf(
+                (it - LATENCY_RISE_MS) / 2,
+                minOf(
+                    MIN_PERIOD_MS,
+                    it / 3,
+                ),
+            )
+        }
 
     /** Time in ms since the call was sent whose answer last confirmed the set, or null before the first. */
     internal val ageMs: Long? get() = confirmedAt?.let { clock.ageOf(it) }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Demands.kt
@@ -9,6 +9,7 @@
 import org.orioleferry.scheduler.placement.Rank
 import org.orioleferry.scheduler.placement.TrialPlacement
 import org.orioleferry.scheduler.placement.WaitingStep
+import org.orioleferry.scheduler.placement.hasToStart
 import org.orioleferry.scheduler.placement.preemptionBudgetCoreMs
 import org.orioleferry.scheduler.placement.queuePositionByDelayCost
 import org.orioleferry.scheduler.placement.queuePositionOf
@@ -127,6 +128,7 @@
             estimateMs = spec.estimateMs,
             hasLatencyTarget = spec.latencyTargetMs > 0,
             usesSpareCpu = spec.usesSpareCpu,
+            hasToStart = shortage?.let { hasToStart(delayed, dependencies.settings.maxStopMs, it) } ?: false,
             preemptionBudgetCoreMs =
                 shortage?.let { preemptionBudgetCoreMs(delayed, dependencies.settings.maxStopMs, it) }
                     ?: Long.MAX_VALUE,
@@ -178,7 +180,7 @@
         val now = clock.wallMs()
         val beginMs = spec.schedule?.dueMs(step.occurrence) ?: step.job.accepted.acceptedMs
         val objectiveMs = jobRegistry.objectiveMsOf(step.job)
-        val taskWork = step.spec.estimateMs * step.spec.need.weightedCores
+        val taskWork = maxOf(1, step.spec.estimateMs) * maxOf(1, step.spec.need.weightedCores)
         if (!step.isWorkRecorded) {
             step.isWorkRecorded = true
             queueWork.record(spec.queue, taskWork * step.spec.count)
@@ -191,7 +193,7 @@
             sinceAcceptedMs = now - beginMs,
             workCoreMs = taskWork * waiting.tasks.size,
             meanWorkCoreMs = queueWork.meanOf(spec.queue),
-            isGuaranteed = rank == Rank.GUARANTEED,
+            isGuaranteed = rank == Rank.GUARANTEED && step.spec.after.isEmpty(),
         )
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ForecastUpdater.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ForecastUpdater.kt
@@ -71,7 +71,7 @@
             }
 
     private fun openWork(): List<OpenWorkClass> {
-        val msByClass = HashMap<OpenWorkClass, Double>()
+        val amounts = HashMap<OpenWorkClass, OpenAmount>()
         jobRegistry.activeJobs.filter { it.isLive }.forEach { job ->
             val spec = job.accepted.spec
             val service = dependencies.manifest()?.queue(spec.queue)?.service ?: spec.service
@@ -79,21 +79,38 @@
             job.openSteps.filter { !it.isDone && !it.spec.isLasting }.forEach { step ->
                 val running = OpenWorkClass(service, priority, step.spec.label, step.countedNeed, 0.0)
                 val waiting = running.copy(isExpired = isExpired(step))
-                step.tasks.filter { !it.isDone }.forEach { task ->
-                    msByClass.merge(if (task.run == null) waiting else running, remainingMs(task), Double::plus)
+                val isReady = step.spec.after.all { job.steps(step.occurrence)[it].isDone }
+                step.tasks.filter { !it.isDone && !isElsewhere(it) }.forEach { task ->
+                    val amount = amounts.getOrPut(if (task.run == null) waiting else running) { OpenAmount() }
+                    amount.taskMs += remainingMs(task)
+                    if (isReady) amount.readyTasks++
                 }
             }
         }
-        return msByClass.map { (kind, ms) -> kind.copy(taskMs = ms) }
+        return amounts.map { (kind, amount) -> kind.copy(taskMs = amount.taskMs, readyTasks = amount.readyTasks) }
     }
 
-    /** Whether [step] ends after the value of its job has expired even if it starts now and takes half of the estimate. */
+    private class OpenAmount(
+        var taskMs: Double = 0.0,
+        var readyTasks: Long = 0,
+    )
+
+    /** Whether [task] runs on a worker that takes no new work, so that its end frees nothing. */
+    private fun isElsewhere(task: Task): Boolean {
+        val session = task.run?.session ?: return false
+        return session.listed.isDraining || fleet.isEvacuated(session)
+    }
+
+    /**
+     * Whether [step] can only end late even if it starts now and takes half of the estimate. The planner places such work
+     * after new work of its priority.
+     */
     private fun isExpired(step: StepRun): Boolean {
         val accepted = step.job.accepted
         val spec = accepted.spec
         val beginMs = spec.schedule?.dueMs(step.occurrence) ?: accepted.acceptedMs
-        val limitMs = AdmissionPolicy.valueLimitMs(dependencies.policyOf(spec), spec.longestChainMs)
-        return clock.wallMs() - beginMs + AdmissionPolicy.shortestMs(spec.chainFromMs(step.index)) > limitMs
+        val objectiveMs = jobRegistry.objectiveMsOf(step.job)
+        return clock.wallMs() - beginMs + AdmissionPolicy.shortestMs(spec.chainFromMs(step.index)) > objectiveMs
     }
 
     /** Returns the remaining time of [task] in ms; 0 while it may still run for an earlier owner. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobFeed.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobFeed.kt
@@ -37,6 +37,9 @@
     /** Versions of the deletions that the feed has shown since the latest request, which a running read may not show. */
     private val deletedVersions = HashMap<String, Long>()
 
+    /** Number of requests for a read; a read that began before the latest one may miss deletions and is discarded. */
+    private var requests = 0
+
     /** Passes all rows that change after [fromVersion] to [apply], until cancelled. */
     suspend fun follow(
         fromVersion: Long,
@@ -50,8 +53,10 @@
             }
             var seenVersion = fromVersion
             var waitMs = FEED_WAIT_MS
+            var wasLost = false
             while (true) {
-                when (val feed = store.feed(Rows.JOBS, seenVersion, waitMs)) {
+                val feed = store.feed(Rows.JOBS, seenVersion, waitMs)
+                when (feed) {
                     is FeedResult.Changes -> {
                         waitMs = FEED_WAIT_MS
                         seenVersion = feed.version
@@ -59,13 +64,18 @@
                         feed.rows.forEach(apply)
                         if (feed.rows.isNotEmpty()) onChange()
                     }
-                    FeedResult.HistoryLost -> seenVersion = newestVersion() ?: seenVersion.also { delay(RETRY_MS) }
+                    FeedResult.HistoryLost -> {
+                        // A store that keeps no history at all would be asked without a pause.
+                        if (wasLost) delay(RETRY_MS)
+                        seenVersion = newestVersion() ?: seenVersion.also { delay(RETRY_MS) }
+                    }
                     is FeedResult.Unavailable -> {
                         // A call that was sent into an outage without answers lasts as long as its wait.
                         waitMs = 0
                         delay(RETRY_MS)
                     }
                 }
+                wasLost = feed == FeedResult.HistoryLost
             }
         }
 
@@ -76,14 +86,19 @@
     private suspend fun newestVersion(): Long? {
         val scan = store.read(Rows.fence) as? ScanResult.Rows ?: return null
         deletedVersions.clear()
+        requests++
         rereads.trySend(Unit)
         return scan.version
     }
 
+    /** Reads the whole table. Returns whether no further read is needed for the request. */
     private suspend fun reread(apply: (StoredRow) -> Unit): Boolean {
         val beganMs = clock.monotonicMs()
+        val request = requests
         val scans = (0 until Rows.JOB_PARTS).map { store.scanAll(Rows.JOBS, it.toString()) }
         val completed = scans.filterIsInstance<ScanResult.Rows>()
+        // The read that was requested meanwhile follows.
+        if (request != requests) return true
         if (completed.size < scans.size) return false
         val rows = completed.flatMap { it.rows }
         rows.filter { row -> deletedVersions[row.key.key]?.let { it < row.version } ?: true }.forEach(apply)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/JobRegistry.kt
@@ -34,6 +34,9 @@
         val version: Long,
     )
 
+    /** Store versions at which this owner removed the rows of jobs; a read that began earlier may still show them. */
+    private val purgedVersions = HashMap<String, Long>()
+
     operator fun get(id: String): Job? = jobs[id]
 
     fun load(
@@ -130,6 +133,8 @@
             remove(row.key.key)
             return null
         }
+        // Without its progress a removed job would run again.
+        if (row.version <= (purgedVersions[row.key.key] ?: 0)) return null
         val job = jobs[row.key.key] ?: return add(row, null)
         if (row.version <= job.acceptedVersion) return null
         val accepted = Rows.decodeJob(row.value) ?: return null
@@ -211,8 +216,9 @@
                     conditions = listOf(RowCondition(Rows.fence, ownership.fenceVersion)),
                     removals = listOf(Rows.progress(job.id)),
                 )
-            val isRemoved = listOf(acceptance, progress).all { dependencies.store.commit(it) is CommitResult.Committed }
-            if (!isRemoved) return
+            val removal = dependencies.store.commit(acceptance) as? CommitResult.Committed ?: return
+            purgedVersions[job.id] = removal.version
+            if (dependencies.store.commit(progress) !is CommitResult.Committed) return
             jobs.remove(job.id)
         }
     }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Placement.kt
@@ -33,8 +33,7 @@
         Planner(
             PlannerSettings(
                 stopDurationMs = dependencies.settings.maxStopMs,
-                placesWideStepsAtOnce = dependencies.settings.shortage != null,
-                keepsRacksWhole = dependencies.settings.shortage != null,
+                decidesByCost = dependencies.settings.shortage != null,
             ),
         )
     private val stopCosts = StopCosts(dependencies.settings.maxStopMs, dependencies.settings.shortage)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/ProgressMonitor.kt
@@ -41,7 +41,8 @@
     /** Records the duration of a gang once, when its first member ends, from the start of its last member. */
     private fun recordDuration(run: Run) {
         val step = run.task.step
-        if (durations == null || run.task.isDone) return
+        // A run that ends before its stop takes effect was confirmed by the stop, not by its start.
+        if (durations == null || run.task.isDone || run.state == RunState.STOPPING) return
         val members = if (step.spec.isGang) step.tasks.mapNotNull { it.run } else listOf(run)
         val beganMs = members.mapNotNull { it.confirmedAtMs }.maxOrNull() ?: return
         durations.record(run.queue, step.spec.count, run.estimateMs, clock.monotonicMs() - beganMs)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CapacityForecast.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/CapacityForecast.kt
@@ -24,7 +24,8 @@
  * @property label label that a worker must have, or empty.
  * @property need resources of one task.
  * @property taskMs remaining time of all its tasks added up, in ms.
- * @property isExpired whether it waits and can earn nothing any more, so that other work of its priority goes before it.
+ * @property isExpired whether it waits and can only end late, so that other work of its priority goes before it.
+ * @property readyTasks number of its tasks that run or could run now; the others wait for earlier steps.
  */
 internal data class OpenWorkClass(
     val service: String,
@@ -33,6 +34,7 @@
     val need: Resources,
     val taskMs: Double,
     val isExpired: Boolean = false,
+    val readyTasks: Long = Int.MAX_VALUE.toLong(),
 )
 
 /**
@@ -41,6 +43,7 @@
  * The wait of a priority is the open work of it and of all more urgent priorities, divided by the capacity. It is kept
  * at or below the true wait where the kinds of work differ, since the forecast serves to refuse work:
  *
+ * - Nothing waits while the tasks that run or could run now leave capacity free, however long they take.
  * - Work that fits no worker counts nothing.
  * - More urgent work takes at most what its tasks can hold at a time. Tasks of 52 cores leave 24 of 128 to smaller ones.
  * - Work that fits on less than half of the workers takes at most the capacity of these.
@@ -107,6 +110,8 @@
         val own = relevant.filter { it.priority == priority && !it.isExpired }
         if (ahead.isEmpty() && own.isEmpty()) return 0
         if (capacity <= 0) return MAX_WAIT_MS
+        val wanted = (ahead + own).sumOf { it.readyTasks.toDouble() * resource.amountOf(it.need) }
+        if (wanted < capacity) return 0
         val aheadLoads = ahead.map { Load(workOf(it, resource), mostHeld(it, resource, groups)) }
         val ownLoads = own.map { Load(workOf(it, resource), reachOf(it, resource, groups)) }
         val waitMs = drainMs(capacity, aheadLoads + ownLoads)
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/DelayCost.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/DelayCost.kt
@@ -12,7 +12,7 @@
  * @property sinceAcceptedMs time since the job was accepted, ms.
  * @property workCoreMs work of the waiting tasks in core-ms, with an accelerator counted as 8 cores.
  * @property meanWorkCoreMs mean work of the steps of the queue in core-ms.
- * @property isGuaranteed whether the work is within the guarantee of its workspace.
+ * @property isGuaranteed whether the step is the first one of a job within the guarantee of its workspace.
  */
 internal data class WaitingStep(
     val nowMs: Long,
@@ -25,6 +25,18 @@
     val isGuaranteed: Boolean,
 )
 
+/**
+ * Whether [step] has to start now, whatever has to be stopped for it: guaranteed work has to begin in a given time after
+ * its acceptance.
+ *
+ * @param maxStopMs longest time that a worker takes to stop a run, ms.
+ */
+internal fun hasToStart(
+    step: WaitingStep,
+    maxStopMs: Long,
+    shortage: ShortageSettings,
+): Boolean = step.isGuaranteed && step.sinceAcceptedMs >= shortage.reclaimMs - maxStopMs - RECLAIM_MARGIN_MS
+
 /**
  * Returns the work in core-ms that may be discarded by stopping other runs so that [step] can start, or
  * [Long.MAX_VALUE] when it has to start.
@@ -39,8 +51,7 @@
     maxStopMs: Long,
     shortage: ShortageSettings,
 ): Long {
-    val hasToStart = step.sinceAcceptedMs >= shortage.reclaimMs - maxStopMs - RECLAIM_MARGIN_MS
-    if (step.isGuaranteed && hasToStart) return Long.MAX_VALUE
+    if (hasToStart(step, maxStopMs, shortage)) return Long.MAX_VALUE
     val countedWork = maxOf(step.workCoreMs, step.meanWorkCoreMs / MIN_WORK_DIVISOR)
     val endsMs = step.nowMs + maxStopMs + (step.remainingMs * OPTIMISTIC_RUN_SHARE).toLong()
     val expiresSoon = endsMs <= step.valueExpiryMs && step.valueExpiryMs - endsMs < EXPIRY_WARNING_MS
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -18,6 +18,9 @@
 ) {
     private val available = LinkedHashSet(victims)
     private val failedDemands = ArrayList<Demand<*>>()
+
+    /** Demands whose cheapest preemption cost more than their budget, with that cost. */
+    private val costlyDemands = ArrayList<Pair<Demand<*>, Long>>()
     private var searches = 0
     private val victimsByWorker = HashMap<String, MutableList<Victim<V>>>()
 
@@ -34,6 +37,12 @@
     fun <K> find(demand: Demand<K>): Preemption<K, V>? {
         if (demand.preemptionBudgetCoreMs <= 0) return null
         if (available.none { demand.mayPreempt(it) } || failedDemands.any { demand.isAtLeastAsHardAs(it) }) return null
+        if (costlyDemands.any { (other, cost) ->
+                cost > demand.preemptionBudgetCoreMs && demand.isAtLeastAsHardAs(other)
+            }
+        ) {
+            return null
+        }
         if (searches == settings.maxVictimSearches) return null
         searches++
         val usable = workers.filter { isEligible(demand, it) && !it.isTroubled }
@@ -49,9 +58,13 @@
             failedDemands += demand
             return null
         }
-        if (best.cost > demand.preemptionBudgetCoreMs) return null
+        if (best.cost > demand.preemptionBudgetCoreMs) {
+            costlyDemands += demand to best.cost
+            return null
+        }
         available.removeAll(best.victims)
-        val stopped = best.victims.filterNot { endsSoon(it) }
+        // A prediction may be wrong, and there is no time for a second preemption then.
+        val stopped = if (demand.hasToStart) best.victims.toList() else best.victims.filterNot { endsSoon(it) }
         return Preemption(demand, best.workers, stopped.map { it.key })
     }
 
@@ -70,7 +83,8 @@
             maxPerWorker == 0 &&
             other.maxPerWorker == 0 &&
             allowed == other.allowed &&
-            (sameRack || !other.sameRack)
+            (sameRack || !other.sameRack) &&
+            pass.isWiderThanRacks(this) == pass.isWiderThanRacks(other)
 
     // Others may use guaranteed accelerators only while they are idle, also for tasks that last.
     private fun Demand<*>.mayPreempt(victim: Victim<V>): Boolean =
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/JobFeedTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/JobFeedTest.kt
@@ -92,6 +92,32 @@
             expectThat(applied).containsExactly("ended deleted")
         }
 
+    // Guards against a removed job that a read brings back when the history is lost again during the read.
+    @Test
+    fun `should discard a read that began before the history was lost again`() =
+        runTest {
+            var reads = 0
+            val store =
+                object : ScriptedStore() {
+                    private var losses = 0
+
+                    override suspend fun changesAfter(version: Long): FeedResult {
+                        if (version == 50L) delay(200)
+                        return if (losses++ < 2) FeedResult.HistoryLost else awaitCancellation()
+                    }
+
+                    override suspend fun rowsOf(part: String): List<StoredRow> {
+                        val isFirst = reads++ < Rows.JOB_PARTS
+                        delay(1_000)
+                        val shown = if (isFirst) row("ended", 7) else row("other", 8)
+                        return if (part == shown.key.part) listOf(shown) else emptyList()
+                    }
+                }
+            follow(store)
+            delay(30_000)
+            expectThat(applied).containsExactly("other")
+        }
+
     // Guards against jobs that wait for the end of a feed call which was sent while the store gave no answers.
     @Test
     fun `should ask in short calls while the store does not answer`() =
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/CapacityForecastTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/CapacityForecastTest.kt
@@ -37,6 +37,14 @@
             .isEqualTo(listOf(ServiceWait("pool", 1, 20_000), ServiceWait("pool", 2, 30_000)))
     }
 
+    // Guards against jobs that are refused beside free accelerators, because a few tasks of others take an hour.
+    @Test
+    fun `should forecast no wait while the tasks that can run leave capacity free`() {
+        val long = accelerators(1, tasks = 1_959, taskMs = 3_600_000).copy(readyTasks = 1_959)
+        expectThat(waitsOf(long)).isEmpty()
+        expectThat(waitsOf(long.copy(readyTasks = 1_960)).map { it.priority }).isEqualTo(listOf(1))
+    }
+
     // Guards against a forecast that names every queue and makes the lease row long, or that names urgent work.
     @Test
     fun `should not name short waits, urgent work or a service without workers`() {
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/placement/PlannerTest.kt
@@ -413,8 +413,7 @@
         workers: List<WorkerResources>,
         demands: List<Demand<String>>,
         victims: List<Victim<String>> = emptyList(),
-    ): Plan<String, String> =
-        Planner(PlannerSettings(placesWideStepsAtOnce = true, keepsRacksWhole = true)).plan(workers, demands, victims)
+    ): Plan<String, String> = Planner(PlannerSettings(decidesByCost = true)).plan(workers, demands, victims)
 
     // Guards against a gang that waits twice its estimate for a rack which no rack of the service is large enough for.
     @Test
@@ -479,4 +478,45 @@
                 .toSet(),
         ).isEqualTo(setOf("b0", "b1"))
     }
+
+    // Guards against an urgent step that may not stop others and waits for good, since other work takes each freed worker.
+    @Test
+    fun `should withhold workers for an urgent step that may not stop others`() {
+        val workers = { List(4) { worker("w$it", free = if (it == 0) 4 else 0) } }
+        val late = demand("late", width = 1, each = 8, priority = 0, waitedMs = 600).copy(preemptionBudgetCoreMs = 0)
+        val batch = demand("batch", width = 4, each = 1)
+        expectThat(costPlan(workers(), listOf(late, batch)).placed).isEmpty()
+        expectThat(plan(workers(), listOf(late, batch)).placed.map { it.demand.key }).isEqualTo(listOf("batch"))
+    }
+
+    // Guards against guaranteed work that begins too late, because the searches of a pass went to steps that can wait or
+    // because a run that was predicted to end did not.
+    @Test
+    fun `should search first for a step that has to start and stop all that it selects`() {
+        val workers = listOf(worker("w0", free = 0))
+        val ending = Victim("ending", 2, accelerators(8), listOf("w0"), lostWorkCoreMs = 10, remainingMs = 100)
+        val others = List(20) { demand("other$it", width = 1, each = 8, priority = 0) }
+        val due = demand("due", width = 1, each = 8, priority = 0).copy(hasToStart = true)
+        val preemption = costPlan(workers, others + due, listOf(ending)).preemptions.single()
+        expectThat(preemption.demand.key).isEqualTo("due")
+        expectThat(preemption.victims).isEqualTo(listOf("ending"))
+    }
+
+    // Guards against steps that use up the searches of each pass without result, so that no later step gets one.
+    @Test
+    fun `should not search again for steps as hard as one that found nothing within its budget`() {
+        val workers = listOf(worker("w0", free = 0), worker("w1", free = 0, rack = "r1"))
+        val victims =
+            listOf(
+                Victim("dear", 2, accelerators(8), listOf("w0"), lostWorkCoreMs = 1_000),
+                Victim("cheap", 2, accelerators(8), listOf("w1"), lostWorkCoreMs = 10),
+            )
+        val poor =
+            List(20) {
+                demand("poor$it", width = 2, each = 8, priority = 0).copy(preemptionBudgetCoreMs = 100)
+            }
+        val last = demand("last", width = 1, each = 8, priority = 0).copy(preemptionBudgetCoreMs = 100)
+        val plan = costPlan(workers, poor + last, victims)
+        expectThat(plan.preemptions.map { it.demand.key }).isEqualTo(listOf("last"))
+    }
 }
