Take back three decisions for steps that have to start

Change: the order is by rank and position again, runs that are about to end are waited for, nothing is withheld. The findings behind the three are met otherwise: the limit on searches does not apply to steps that have to start, and a step that has waited for twice its objective may stop others again, so that its wait is bounded.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/DelayCost.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/DelayCost.kt
@@ -42,7 +42,8 @@
  * [Long.MAX_VALUE] when it has to start.
  *
  * Stopping others helps callers only if the step can then still end in time, or before its completion loses all value.
- * Otherwise the step waits for the next free room, which discards nothing.
+ * Otherwise the step waits for the next free room, which discards nothing. One that has waited for twice its objective may
+ * stop others again, since other work may use each slot that frees.
  *
  * @param maxStopMs longest time that a worker takes to stop a run, ms.
  */
@@ -58,10 +59,17 @@
     return when {
         endsMs <= step.dueMs -> countedWork * VALUE_PER_WORK
         expiresSoon -> countedWork
+        hasWaitedLong(step) -> countedWork * VALUE_PER_WORK
         else -> 0
     }
 }
 
+/** Whether [step] has waited for twice the objective of its job. */
+internal fun hasWaitedLong(step: WaitingStep): Boolean {
+    val objectiveMs = step.dueMs - (step.nowMs - step.sinceAcceptedMs)
+    return step.sinceAcceptedMs > 2 * objectiveMs
+}
+
 /** Mean work of the steps of each queue in core-ms, over all steps that have become ready in the term. */
 internal class QueueWork {
     private class Mean(
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/Planner.kt
@@ -74,7 +74,7 @@
  * @property waitedMs time since the step became ready, ms.
  * @property allowed ids of the only workers that may run the step, or null when all may.
  * @property trial how the trial of tasks that may crash their workers is placed.
- * @property hasToStart whether the tasks have to start now, so that no run is waited for and their search comes first.
+ * @property hasToStart whether the tasks have to start now, so that the limit on searches does not apply to them.
  * @property preemptionBudgetCoreMs most work in core-ms, with an accelerator counted as 8 cores, that may be discarded in
  *   favour of the tasks.
  * @property reserved workers that were emptied by preemption for this step, one entry for each task.
@@ -183,20 +183,16 @@
         val (urgent, nonUrgent) =
             others
                 .sortedWith(
-                    compareBy({ !it.hasToStart }, { it.rank }, { it.position }),
+                    compareBy({ it.rank }, { it.position }),
                 ).partition { Rank.isUrgent(it.rank) }
         urgent.forEach { demand ->
             val workers = pass.place(demand)
             if (workers.isNotEmpty()) placed += Placed(demand, workers)
             val missing = demand.width - workers.size
             if (missing > 0 && demand.trial == TrialPlacement.NONE) {
-                val found = preemption.find(demand.copy(width = missing))
-                if (found != null) {
-                    preemptions += found
-                    pass.allocate(demand, found.workers)
-                } else if (settings.decidesByCost) {
-                    // A step that may not stop others would otherwise wait as long as others use each slot that frees.
-                    pass.withholdFor(demand, missing)
+                preemption.find(demand.copy(width = missing))?.let {
+                    preemptions += it
+                    pass.allocate(demand, it.workers)
                 }
             }
         }
@@ -267,8 +263,8 @@
  * @property maxVictimSearches searches for victims in one pass. Each search looks at all workers; demands beyond the
  *   limit are searched for in a later pass.
  * @property decidesByCost whether decisions follow the cost of delays and stops: a step that does not fit into any single
- *   rack, even an empty one, is placed across racks without waiting for one, workers are withheld for urgent steps that
- *   may not stop others, and tasks with a single accelerator are kept out of racks with many free workers.
+ *   rack, even an empty one, is placed across racks without waiting for one, and tasks with a single accelerator are
+ *   kept out of racks with many free workers.
  * @property minShare share of a service's accelerators that each rank below the highest non-urgent one may use before
  *   that one is served, so that lasting load of one priority does not stop all work of the priorities below it.
  */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PreemptionSearch.kt
@@ -43,7 +43,7 @@
         ) {
             return null
         }
-        if (searches == settings.maxVictimSearches) return null
+        if (searches >= settings.maxVictimSearches && !demand.hasToStart) return null
         searches++
         val usable = workers.filter { isEligible(demand, it) && !it.isTroubled }
         val nearData = usable.filter { demand.dataRack.isEmpty() || it.rack == demand.dataRack }
@@ -63,8 +63,7 @@
             return null
         }
         available.removeAll(best.victims)
-        // A prediction may be wrong, and there is no time for a second preemption then.
-        val stopped = if (demand.hasToStart) best.victims.toList() else best.victims.filterNot { endsSoon(it) }
+        val stopped = best.victims.filterNot { endsSoon(it) }
         return Preemption(demand, best.workers, stopped.map { it.key })
     }
 
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/QueuePosition.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/QueuePosition.kt
@@ -64,11 +64,9 @@
             endsMs <= step.valueExpiryMs -> 1
             else -> 0
         }
-    val objectiveMs = step.dueMs - (step.nowMs - step.sinceAcceptedMs)
-    val hasWaitedLong = step.sinceAcceptedMs > 2 * objectiveMs
     val relativeWork = maxOf(MIN_RELATIVE_WORK, step.workCoreMs / maxOf(1.0, step.meanWorkCoreMs.toDouble()))
     return base.copy(
-        precedence = 2 * valueClass + if (hasWaitedLong) 1 else 0,
+        precedence = 2 * valueClass + if (hasWaitedLong(step)) 1 else 0,
         valueForWork = base.valueForWork * (WORK_VALUE_SHARE + FIXED_VALUE_SHARE / relativeWork),
     )
 }
