Keep the room of empty racks in a class of its own

Change: RackWidths answers it, with the requirements that steps share as its key; no behaviour changes.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/placement/PlacementPass.kt
@@ -16,7 +16,7 @@
     /** Number of tasks that this pass has allocated, by step and worker id. */
     private val allocatedByStep = HashMap<Any?, HashMap<String, Int>>()
     private var withheldWorkers = 0
-    private val widestRacks = HashMap<RackUse, Int>()
+    private val rackWidths = RackWidths({ workersByService[it].orEmpty() }, ::remainingTaskLimit)
 
     /** Free accelerators that [withhold] and [withholdFor] took from later demands, by service. */
     val withheld = HashMap<String, Withheld>()
@@ -289,53 +289,9 @@
         return total == 0 || free > total * (1 - settings.lightUtilisation)
     }
 
-    /**
-     * Whether [demand] has to be spread over several racks at any load: it is placed as a whole, and no rack that it may use
-     * has enough workers for it. Its wait for a single rack would be in vain.
-     */
-    fun isWiderThanRacks(demand: Demand<*>): Boolean {
-        if (!settings.decidesByCost || !(demand.sameRack || demand.isGang)) return false
-        val isShared = demand.allowed == null && demand.maxPerWorker == 0 && demand.trial == TrialPlacement.NONE
-        val slots =
-            if (isShared) {
-                widestRacks.getOrPut(RackUse(demand)) { slotsOfWidestRack(demand) }
-            } else {
-                slotsOfWidestRack(demand)
-            }
-        return slots < demand.width
-    }
-
-    /** Returns how many tasks of [demand] the rack with most room for them takes when it is empty. */
-    private fun slotsOfWidestRack(demand: Demand<*>): Int =
-        workersByService[demand.service]
-            .orEmpty()
-            .filter { isEligible(demand, it) && (demand.dataRack.isEmpty() || it.rack == demand.dataRack) }
-            .groupBy { it.rack }
-            .values
-            .maxOfOrNull { rack ->
-                rack.sumOf { worker ->
-                    minOf(worker.capacity.countFitting(demand.need, MAX_SLOTS), remainingTaskLimit(demand, worker))
-                }
-            } ?: 0
-
-    /** What decides how many tasks of a demand fit into an empty rack; most demands of a queue share it. */
-    private data class RackUse(
-        val service: String,
-        val need: Resources,
-        val label: String,
-        val dataRack: String,
-        val hasLatencyTarget: Boolean,
-        val usesSpareCpu: Boolean,
-    ) {
-        constructor(demand: Demand<*>) : this(
-            demand.service,
-            demand.need,
-            demand.label,
-            demand.dataRack,
-            demand.hasLatencyTarget,
-            demand.usesSpareCpu,
-        )
-    }
+    /** Whether [demand] has to be spread over several racks at any load, see [RackWidths]. */
+    fun isWiderThanRacks(demand: Demand<*>): Boolean =
+        settings.decidesByCost && (demand.sameRack || demand.isGang) && rackWidths.isWider(demand)
 
     private companion object {
         // Speeds are rounded to eighths, since the estimated speeds cannot resolve differences below a tenth.
@@ -343,9 +299,6 @@
 
         // An accelerator counts as 8 cores wherever work is measured.
         const val CORE_MILLIS_PER_ACCELERATOR = 8_000L
-
-        // Far above the tasks that fit on any worker; keeps the sum over a rack within an Int.
-        const val MAX_SLOTS = 100_000
     }
 }
 
