Wait for the leases of earlier owners on runs that were adopted

Cause: a new owner adopts the runs that a worker lists, but knew only of the leases that it had granted itself. Until its first renewal with a deadline it had granted none, so the first call to the worker that failed ended the adopted runs at once ("lease has lapsed"), and their tasks started elsewhere under the lease of the earlier owner, which lasts up to 8.5 s after its last renewal of the ownership. The renewal after the one that claims a worker has no deadline when the ends that the worker listed take more than 0.3 s to be stored, or the instance is busy for so long, as after a kill of all instances.

Evidence: AdoptedRunsTest, first test: with a store that takes 0.4 s, a cut of the worker from 2.1 s after the start of the next owner on gave four tasks a second run at 7.530 s while the first ones went on until their leases lapsed. It failed before the change.

Change: the times at which the leases of earlier owners have ended, by which tasks on unreachable workers were freed already, are an EarlierLeases of their own now, and a worker with adopted runs counts as having leases until then; the later one of the two times if the worker has restarted since the start of the run. Without that distinction the second test fails.

Measured: both tests pass (41 and 9 phases), all tests of the scheduler module pass.

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -22,10 +22,7 @@
     )
 
     private val entriesById = LinkedHashMap<String, Entry>()
-    private val earlierLeasesExpiredAtMs: Long = expiryOfEarlierLeases()
-
-    /** Like [earlierLeasesExpiredAtMs], for orders of earlier owners that a later incarnation of the worker carried out. */
-    private val earlierOrdersExpiredAtMs: Long = maxOf(earlierLeasesExpiredAtMs, expiryOfEarlierOrders())
+    private val earlierLeases = EarlierLeases.before(ownership, dependencies.clock, dependencies.settings)
     private val directory = dependencies.directory()
     private val evacuationLog = DataCentreEvacuationLog(dependencies)
     private var isExpiryReported = false
@@ -68,18 +65,12 @@
 
     private fun untilNextExpiryMs(): Long {
         val now = dependencies.clock.monotonicMs()
-        return listOf(earlierLeasesExpiredAtMs, earlierOrdersExpiredAtMs).filter { it > now }.minOfOrNull { it - now }
+        return listOf(earlierLeases.endedAtMs, earlierLeases.endedAfterRestartAtMs)
+            .filter { it > now }
+            .minOfOrNull { it - now }
             ?: REFRESH_MS
     }
 
-    private fun expiryOfEarlierLeases(): Long {
-        val latestMs = dependencies.clock.monotonicMs() + ownership.longestEarlierRunLeaseMs
-        return (ownership.earlierRunLeasesEndAtMs ?: latestMs) + EXPIRY_MARGIN_MS
-    }
-
-    private fun expiryOfEarlierOrders(): Long =
-        dependencies.clock.monotonicMs() + dependencies.settings.longestEarlierOrderMs + EXPIRY_MARGIN_MS
-
     /** Wakes the sessions, which may wait for run ends to be stored. */
     fun wakeSessions() {
         entriesById.values.forEach { it.session.wake() }
@@ -139,6 +130,7 @@
                 dependencies.settings,
                 dependencies.log,
                 runs,
+                earlierLeases,
                 isNew,
             )
         entriesById[worker.id] = Entry(session, scope.launch { session.run() })
@@ -151,11 +143,11 @@
     private fun reportEarlierLeasesExpired() {
         val now = dependencies.clock.monotonicMs()
         val unsettled = { sessions.filter { it.isClaimed && !it.isSettled }.mapTo(HashSet()) { it.id } }
-        if (!isExpiryReported && now >= earlierLeasesExpiredAtMs) {
+        if (!isExpiryReported && now >= earlierLeases.endedAtMs) {
             isExpiryReported = true
             runs.onEarlierLeasesExpired(unsettled(), newestIncarnationsMs)
         }
-        if (!isOrderExpiryReported && now >= earlierOrdersExpiredAtMs) {
+        if (!isOrderExpiryReported && now >= earlierLeases.endedAfterRestartAtMs) {
             isOrderExpiryReported = true
             runs.onEarlierLeasesExpired(unsettled())
         }
@@ -164,8 +156,5 @@
     private companion object {
         // A draining worker has to be noticed within 2 s, and the directory itself lags by up to 0.8 s.
         const val REFRESH_MS = 400L
-
-        // Time in which a worker ends the runs whose leases have expired.
-        const val EXPIRY_MARGIN_MS = 300L
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -194,6 +194,7 @@
         run.isOrdered = true
         run.isUrgent = dependencies.policyOf(task.step.job.accepted.spec).priority == 0
         orders.attach(run)
+        session.adoptLease(task.unresolvedIncarnationMs)
         task.unresolvedWorker = ""
         log.record(
             SchedulerEvent.RUN_ADOPTED,
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerClock.kt
@@ -36,6 +36,9 @@
     /** Like [earlierOrdersExpiredAtMs], for the orders without a recent answer before them only. */
     private var unconfirmedOrdersExpiredAtMs = 0L
 
+    /** Local monotonic time by which every lease has ended that earlier owners gave the runs taken over from them. */
+    private var inheritedLeasesEndedAtMs = 0L
+
     /** Returns the estimated time on the worker's clock, in ms. */
     fun nowMs(): Long = readingMs + (clock.monotonicMs() - readAtMs)
 
@@ -104,10 +107,16 @@
         return deadline
     }
 
-    /** Returns the local time by which the worker's clock has certainly passed every deadline it was given, in ms. */
+    /** Returns the local monotonic time in ms by which every lease on the worker has certainly ended. */
     fun leasesExpiredAtMs(): Long {
         val leftMs = (highestDeadlineMs - readingMs).coerceAtLeast(0)
-        return maxOf(readAtMs + (leftMs / settings.minClockRate).toLong() + EXPIRY_MARGIN_MS, earlierOrdersExpiredAtMs)
+        val grantedEndMs = readAtMs + (leftMs / settings.minClockRate).toLong() + EXPIRY_MARGIN_MS
+        return maxOf(grantedEndMs, earlierOrdersExpiredAtMs, inheritedLeasesEndedAtMs)
+    }
+
+    /** The worker has runs whose leases earlier owners granted; they have ended by [endedAtMs], a local monotonic time. */
+    fun inheritLeases(endedAtMs: Long) {
+        inheritedLeasesEndedAtMs = maxOf(inheritedLeasesEndedAtMs, endedAtMs)
     }
 
     /** Forgets the deadlines, since the worker's incarnation is over and no order for it is carried out any more. */
@@ -117,6 +126,7 @@
         unconfirmedSentAtMs = null
         earlierOrdersExpiredAtMs = 0
         unconfirmedOrdersExpiredAtMs = 0
+        inheritedLeasesEndedAtMs = 0
     }
 
     /**
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -29,6 +29,7 @@
     private val settings: SchedulerSettings,
     private val log: DecisionLog,
     private val listener: SessionListener,
+    private val earlierLeases: EarlierLeases,
     isNew: Boolean = false,
 ) {
     var listed: ListedWorker = listed
@@ -121,6 +122,15 @@
         return workerClock.nextDeadlineMs(ownership.runLeaseLimitMs)
     }
 
+    /**
+     * Takes over a run that an earlier owner started in the incarnation [startedInMs], 0 if that is not known. Its lease may
+     * last although this owner has granted none.
+     */
+    fun adoptLease(startedInMs: Long) {
+        val isRestarted = listed.incarnationMs > startedInMs
+        workerClock.inheritLeases(if (isRestarted) earlierLeases.endedAfterRestartAtMs else earlierLeases.endedAtMs)
+    }
+
     /** The worker has answered an order that was sent at the monotonic time [sentAtMs]. */
     fun onOrderAnswered(sentAtMs: Long) = workerClock.prove(sentAtMs)
 
