Ask listed workers before tasks of earlier owners are released

Cause: once every lease of earlier owners had ended, a new owner released the tasks of every worker that was not claimed yet. After a long absence that is right after the rows were read, before the first call to any worker could be answered.

Change: tasks of a listed worker are released only after a call to it has ended in this term, with its ends listed or without an answer, at most 0.7 s. The release is repeated as calls end instead of happening once at each of the two times at which leases end.

Measured: all tests of the scheduler module pass; a worker that was lost in the absence costs its tasks less than 1 s from the start of the instances (second new test).

--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/Fleet.kt
@@ -25,8 +25,6 @@
     private val earlierLeases = EarlierLeases.before(ownership, dependencies.clock, dependencies.settings)
     private val directory = dependencies.directory()
     private val evacuationLog = DataCentreEvacuationLog(dependencies)
-    private var isExpiryReported = false
-    private var isOrderExpiryReported = false
 
     /** The newest incarnation of each worker that was listed in this term, also of those that are listed no more. */
     private val newestIncarnationsMs = HashMap<String, Long>()
@@ -56,21 +54,12 @@
                 }
                 is DirectoryResult.Unavailable -> Unit
             }
-            reportEarlierLeasesExpired()
             if (ownership.canDecide) entriesById.values.forEach { leavingWorkers.check(it.session) }
             if (ownership.canDecide && hasListing) evacuationLog.check(sessions)
-            delay(minOf(REFRESH_MS, untilNextExpiryMs()))
+            delay(REFRESH_MS)
         }
     }
 
-    private fun untilNextExpiryMs(): Long {
-        val now = dependencies.clock.monotonicMs()
-        return listOf(earlierLeases.endedAtMs, earlierLeases.endedAfterRestartAtMs)
-            .filter { it > now }
-            .minOfOrNull { it - now }
-            ?: REFRESH_MS
-    }
-
     /** Wakes the sessions, which may wait for run ends to be stored. */
     fun wakeSessions() {
         entriesById.values.forEach { it.session.wake() }
@@ -137,24 +126,30 @@
     }
 
     /**
-     * Releases the tasks of earlier owners once every lease that those owners can have granted has expired. It takes longer
-     * on a worker that has restarted since the start of the task.
+     * Releases the tasks of earlier owners once every lease that those owners can have granted has expired, which takes longer
+     * on a worker that has restarted since the start of the task. A worker that was not asked yet may list that they are done,
+     * so they wait for the outcome of the call as well. Returns when none is left.
      */
-    private fun reportEarlierLeasesExpired() {
-        val now = dependencies.clock.monotonicMs()
-        val unsettled = { sessions.filter { it.isClaimed && !it.isSettled }.mapTo(HashSet()) { it.id } }
-        if (!isExpiryReported && now >= earlierLeases.endedAtMs) {
-            isExpiryReported = true
-            runs.onEarlierLeasesExpired(unsettled(), newestIncarnationsMs)
-        }
-        if (!isOrderExpiryReported && now >= earlierLeases.endedAfterRestartAtMs) {
-            isOrderExpiryReported = true
-            runs.onEarlierLeasesExpired(unsettled())
+    suspend fun releaseEarlierTasks() {
+        var released: Pair<Set<String>, Boolean>? = null
+        while (true) {
+            val now = dependencies.clock.monotonicMs()
+            val awaited = sessions.filter { it.awaitsListing }.mapTo(HashSet()) { it.id }
+            val isWaitOver = now >= earlierLeases.endedAfterRestartAtMs
+            if (hasListing && now >= earlierLeases.endedAtMs && released != awaited to isWaitOver) {
+                released = awaited to isWaitOver
+                val left = runs.releaseEarlierTasks(awaited, if (isWaitOver) emptyMap() else newestIncarnationsMs)
+                if (left == 0) return
+            }
+            delay(RELEASE_CHECK_MS)
         }
     }
 
     private companion object {
         // A draining worker has to be noticed within 2 s, and the directory itself lags by up to 0.8 s.
         const val REFRESH_MS = 400L
+
+        // Delays tasks of workers that cannot be reached after a takeover by this much at most.
+        const val RELEASE_CHECK_MS = 20L
     }
 }
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/OwnerTerm.kt
@@ -90,6 +90,7 @@
             monitor.slowRuns?.usableWorkers = { fleet.sessions.filter { fleet.isUsable(it) } }
             launch { writer.run() }
             launch { fleet.follow { planSignal.trySend(Unit) } }
+            launch { fleet.releaseEarlierTasks() }
             launch { QueueLengths(dependencies, ownership, jobRegistry).publish() }
             launch { jobFeed.follow(jobsVersion) { row -> applyJobRow(row, runs) } }
             if (dependencies.settings.shortage != null) {
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/RunControl.kt
@@ -229,21 +229,30 @@
     }
 
     /**
-     * Called once every lease that earlier owners granted has expired, but for those on workers that have restarted since:
-     * their incarnations are in [newestIncarnationsMs]. [unsettled] are the workers that are still listing ends, among which
-     * may be those of the tasks.
+     * Releases the tasks whose leases of earlier owners have expired, but for those of the workers [awaited], which may be
+     * about to list them, and of workers that have restarted since the start of the task: their incarnations are in
+     * [newestIncarnationsMs]. Returns the number of tasks that are left.
      */
-    fun onEarlierLeasesExpired(
-        unsettled: Set<String>,
-        newestIncarnationsMs: Map<String, Long> = emptyMap(),
-    ) {
-        val open =
-            jobRegistry.unresolvedTasks().filter { task ->
+    fun releaseEarlierTasks(
+        awaited: Set<String>,
+        newestIncarnationsMs: Map<String, Long>,
+    ): Int {
+        val (released, left) =
+            jobRegistry.unresolvedTasks().partition { task ->
                 val isRestarted = (newestIncarnationsMs[task.unresolvedWorker] ?: 0) > task.unresolvedIncarnationMs
-                task.unresolvedWorker !in unsettled && !isRestarted
+                task.unresolvedWorker !in awaited && !isRestarted
             }
-        log.record(SchedulerEvent.TAKEOVER_CLEAR, dependencies.settings.instance, "tasks" to open.size)
-        settle(open)
+        if (released.isNotEmpty() || left.isEmpty()) {
+            log.record(
+                SchedulerEvent.TAKEOVER_CLEAR,
+                dependencies.settings.instance,
+                "tasks" to released.size,
+                "left" to left.size,
+                "awaited" to awaited.size,
+            )
+        }
+        settle(released)
+        return left.size
     }
 
     /** Stops the running members of an incomplete gang. */
--- a/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
+++ b/scheduler/src/main/kotlin/org/orioleferry/scheduler/owner/WorkerSession.kt
@@ -44,6 +44,12 @@
     /** Whether the worker has listed every end from before it was claimed, so that what is neither listed nor ended is gone. */
     var isSettled = false
         private set
+
+    /** Whether a call to the worker was answered or given up in this term. */
+    private var hasBeenAsked = false
+
+    /** Whether the worker may be about to list runs that earlier owners started, and their ends. */
+    val awaitsListing: Boolean get() = !hasBeenAsked || (isClaimed && !isSettled)
     val runs = LinkedHashMap<RunId, Run>()
 
     /** Number of failed runs since the last success. */
@@ -251,6 +257,7 @@
         val incarnation = worker.incarnationMs
         val result =
             whileLeasesLast { link.renewLeases(worker, ownership.epoch, storedEnd, deadlineMs, waitMs) }
+        hasBeenAsked = true
         when (result) {
             is RenewalResult.Renewed -> if (incarnation == listed.incarnationMs) onRenewed(result, sentAtMs, storedEnd)
             RenewalResult.Fenced -> {
--- a/scheduler/src/test/kotlin/org/orioleferry/scheduler/TakeoverLeasesTest.kt
+++ b/scheduler/src/test/kotlin/org/orioleferry/scheduler/TakeoverLeasesTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
+import org.orioleferry.scheduler.model.JobState
 import org.orioleferry.scheduler.model.StepSpec
 import org.orioleferry.scheduler.owner.LeaseValue
 import org.orioleferry.scheduler.simulation.Outcome
@@ -12,6 +13,7 @@
 import org.orioleferry.scheduler.store.RowTransaction
 import org.orioleferry.scheduler.store.RowWrite
 import org.orioleferry.scheduler.store.Rows
+import org.orioleferry.scheduler.workers.RenewalResult
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -76,6 +78,47 @@
         }
     }
 
+    // Guards against tasks that are done and run again after a long absence of all instances: their leases had ended when the
+    // next owner began, and it did not wait for the answers of their workers (KNOWN-RED 33).
+    @Test
+    fun `should ask the workers before tasks start again whose leases ended before the takeover`() {
+        for (answerMs in 0L..600L step 100) {
+            runTest {
+                val cluster = SimulatedCluster(this) { _, _ -> Outcome(2_000) }
+                val instance = cluster.Instance("one").also { it.start() }
+                delay(1_500)
+                cluster.submit(instance, "a", "routine", StepSpec(WIDTH, SimulatedCluster.ONE_ACCELERATOR, 2_000))
+                delay(1_000)
+                instance.kill()
+                delay(LONG_ABSENCE_MS)
+                instance.link.answerDelayMs =
+                    { if ((it as? RenewalResult.Renewed)?.ends.isNullOrEmpty()) 0 else answerMs }
+                instance.start()
+                delay(5_000)
+                expectThat(cluster.stateOf(instance, "a")).isEqualTo(JobState.COMPLETED)
+                expectThat(cluster.records.runs).describedAs("answers take $answerMs ms").hasSize(WIDTH)
+            }
+        }
+    }
+
+    // Guards against tasks that wait for the answer of a worker that gives none.
+    @Test
+    fun `should start tasks elsewhere soon after the takeover when their worker was lost in a long absence`() =
+        runTest {
+            val (cluster, instances) = startLastingJob(phaseMs = 0)
+            val lost = cluster.busyWorker()
+            instances.forEach { it.kill() }
+            delay(LONG_ABSENCE_MS)
+            lost.losePower()
+            val beganMs = cluster.clock.monotonicMs()
+            instances.forEach { it.start() }
+            delay(10_000)
+            val restarts = cluster.records.runs.filter { it.beganMs >= beganMs }
+            expectThat(restarts).hasSize(WIDTH)
+            // The election of the instance that held the ownership, the reading of the rows, and the limit of one call.
+            expectThat(restarts.maxOf { it.beganMs } - beganMs).isLessThan(1_000L)
+        }
+
     // Guards against a second run during an upgrade: an owner of an earlier version extends leases up to 7 s after its last
     // renewal, and its lease row does not say when they end.
     @Test
@@ -150,6 +193,9 @@
         const val CALM_LIMIT_MS = 7_000L
         const val DOWN_MS = 2_000L
 
+        // Longer than all leases of an earlier owner.
+        const val LONG_ABSENCE_MS = 12_000L
+
         // 7 s after its last renewal an owner of an earlier version grants 6 s on a worker's clock that may be 2% slow.
         const val EARLIER_VERSION_LEASES_MS = 13_122L
     }
